--- /dev/null
+++ b/src/claims/keeper.ts
@@ -0,0 +1,127 @@
+import * as Effect from 'effect/Effect';
+import { CLAIM_RENEW_MS, CLAIM_TICK_MS, CLAIM_TTL_MS } from '../constants.js';
+import { log } from '../log.js';
+import type { Store } from '../store/client.js';
+import { claimKey } from '../store/keys.js';
+import type { Mirror } from '../store/mirror.js';
+import { decideClaims, LEADER, type Claim, type SeenClaim, type Sibling } from './decide.js';
+import { mayAct, nextTenure, type Tenure, type TenureEvent } from './tenure.js';
+
+export interface KeeperInput {
+  readonly me: Claim;
+  readonly nodes: readonly string[];
+  readonly slotCount: number;
+  readonly siblings: () => readonly Sibling[];
+  /** Most nodes, this one included, cannot reach the state service. */
+  readonly outage: () => boolean;
+  readonly now: () => number;
+}
+
+/** Keeps this node's lease and claims, and knows who holds what. */
+export class Keeper {
+  tenure: Tenure = { _tag: 'detached' };
+  readonly slots: readonly string[];
+  private readonly freeSince = new Map<string, number>();
+
+  constructor(
+    private readonly store: Store,
+    private readonly mirror: Mirror,
+    private readonly input: KeeperInput,
+  ) {
+    this.slots = [...Array.from({ length: input.slotCount }, (_, slot) => String(slot)), LEADER];
+  }
+
+  claim(slot: string): SeenClaim | undefined {
+    const item = this.mirror.get(claimKey(slot));
+    if (!item) return undefined;
+    const raw = item.value as { n: string; i: string };
+    return { node: raw.n, incarnation: raw.i, version: item.version };
+  }
+
+  /** The revision of this process's claim on the slot, or null when the mirror shows another or none. */
+  mine(slot: string): number | null {
+    const claim = this.claim(slot);
+    if (!claim || claim.node !== this.input.me.node || claim.incarnation !== this.input.me.incarnation)
+      return null;
+    return claim.version;
+  }
+
+  /** May this node answer workers and decide for the slot right now? */
+  entitled(slot: string): number | null {
+    return mayAct(this.tenure, this.input.now()) ? this.mine(slot) : null;
+  }
+
+  get lease(): number | null {
+    return this.tenure._tag === 'detached' ? null : this.tenure.lease;
+  }
+
+  private step(event: TenureEvent): void {
+    const before = this.tenure._tag;
+    this.tenure = nextTenure(this.tenure, event, CLAIM_TTL_MS);
+    if (before !== this.tenure._tag) log.info({ event: 'tenure.change', from: before, to: this.tenure._tag });
+  }
+
+  private readonly renewals: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
+    for (;;) {
+      const lease = this.lease;
+      if (lease === null) {
+        const result = yield* this.store.grant();
+        if (result._tag === 'held')
+          this.step({ _tag: 'granted', lease: result.lease, sentAt: result.sentAt });
+        else yield* Effect.sleep(CLAIM_TICK_MS);
+        continue;
+      }
+      const result = yield* this.store.renew(lease);
+      if (result._tag === 'held') this.step({ _tag: 'renewed', lease, sentAt: result.sentAt });
+      else if (result._tag === 'gone') {
+        this.step({ _tag: 'ended', lease });
+        continue;
+      }
+      yield* Effect.sleep(result._tag === 'held' ? CLAIM_RENEW_MS : CLAIM_TICK_MS);
+    }
+  });
+
+  private readonly looks: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
+    for (;;) {
+      yield* Effect.sleep(CLAIM_TICK_MS);
+      const now = this.input.now();
+      this.step({ _tag: 'tick', now, outage: this.input.outage() });
+      const lease = this.lease;
+      if (!this.mirror.ready || lease === null || !mayAct(this.tenure, now)) continue;
+      const claims = new Map<string, SeenClaim>();
+      for (const slot of this.slots) {
+        const claim = this.claim(slot);
+        if (claim) {
+          claims.set(slot, claim);
+          this.freeSince.delete(slot);
+        } else if (!this.freeSince.has(slot)) this.freeSince.set(slot, now);
+      }
+      const actions = decideClaims({
+        me: this.input.me,
+        nodes: this.input.nodes,
+        slots: this.slots,
+        claims,
+        freeSince: this.freeSince,
+        siblings: this.input.siblings(),
+        now,
+      });
+      for (const action of actions) {
+        const to =
+          action._tag === 'take'
+            ? { value: { n: this.input.me.node, i: this.input.me.incarnation }, lease }
+            : { value: { n: action.to.node, i: action.to.incarnation }, lease: action.to.lease ?? lease };
+        const result = yield* this.store.txn(
+          [{ key: claimKey(action.slot), version: action.version }],
+          [{ _tag: 'put', key: claimKey(action.slot), value: to.value, lease: to.lease }],
+          'vital',
+        );
+        log.info({ event: `claim.${action._tag}`, slot: action.slot, to: to.value.n, result: result._tag });
+        // The mirror shows the claim in its place among all changes; acting earlier would skip some.
+      }
+    }
+  });
+
+  readonly run: Effect.Effect<unknown> = Effect.all([this.renewals, this.looks], {
+    concurrency: 'unbounded',
+  });
+}
--- /dev/null
+++ b/src/claims/tenure.test.ts
@@ -0,0 +1,156 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decideClaims, type ClaimsView, type SeenClaim } from './decide.js';
+import { deadline, mayAct, nextTenure, type Tenure, type TenureEvent } from './tenure.js';
+
+const TTL = 5_000;
+const holding = (sentAt: number): Tenure => ({ _tag: 'holding', lease: 7, until: deadline(sentAt, TTL) });
+
+const tenures: readonly {
+  name: string;
+  from: Tenure;
+  event: TenureEvent;
+  to: string;
+  actsAt?: number;
+  acts?: boolean;
+}[] = [
+  {
+    name: 'a grant starts holding',
+    from: { _tag: 'detached' },
+    event: { _tag: 'granted', lease: 7, sentAt: 0 },
+    to: 'holding',
+  },
+  {
+    name: 'a renewal counts from when it was sent',
+    from: holding(0),
+    event: { _tag: 'renewed', lease: 7, sentAt: 1_000 },
+    to: 'holding',
+    actsAt: 5_600,
+    acts: true,
+  },
+  {
+    name: 'without a renewal nothing is done near the end of the lease',
+    from: holding(0),
+    event: { _tag: 'tick', now: 4_800, outage: false },
+    to: 'silent',
+    actsAt: 4_800,
+    acts: false,
+  },
+  {
+    name: 'a silent node stays silent, however quiet the others are',
+    from: { _tag: 'silent', lease: 7 },
+    event: { _tag: 'tick', now: 1, outage: true },
+    to: 'silent',
+  },
+  {
+    name: 'an outage for most is ridden out',
+    from: holding(0),
+    event: { _tag: 'tick', now: 4_800, outage: true },
+    to: 'riding',
+    actsAt: 5_500,
+    acts: true,
+  },
+  {
+    name: 'riding ends soon after the others can reach the state again',
+    from: { _tag: 'riding', lease: 7, until: 9_000 },
+    event: { _tag: 'tick', now: 9_001, outage: false },
+    to: 'silent',
+  },
+  {
+    name: 'a renewal ends silence',
+    from: { _tag: 'silent', lease: 7 },
+    event: { _tag: 'renewed', lease: 7, sentAt: 10 },
+    to: 'holding',
+  },
+  {
+    name: 'a late renewal of an earlier lease changes nothing',
+    from: { _tag: 'detached' },
+    event: { _tag: 'renewed', lease: 7, sentAt: 10 },
+    to: 'detached',
+  },
+  { name: 'an ended lease detaches', from: holding(0), event: { _tag: 'ended', lease: 7 }, to: 'detached' },
+  {
+    name: "an earlier lease's end changes nothing",
+    from: holding(0),
+    event: { _tag: 'ended', lease: 6 },
+    to: 'holding',
+  },
+];
+
+for (const row of tenures) {
+  test(`tenure: ${row.name}`, () => {
+    const after = nextTenure(row.from, row.event, TTL);
+    assert.equal(after._tag, row.to);
+    if (row.actsAt !== undefined) assert.equal(mayAct(after, row.actsAt), row.acts);
+  });
+}
+
+const claim = (node: string, incarnation = '1', version = 5): SeenClaim => ({ node, incarnation, version });
+const view = (over: Partial<ClaimsView>): ClaimsView => ({
+  me: { node: 'n0', incarnation: '1' },
+  nodes: ['n0', 'n1', 'n2'],
+  slots: ['0', '1', '2', 'L'],
+  claims: new Map(),
+  freeSince: new Map(),
+  siblings: [],
+  now: 0,
+  ...over,
+});
+const all = (entries: Record<string, SeenClaim>): ReadonlyMap<string, SeenClaim> =>
+  new Map(Object.entries(entries));
+
+const decisions: readonly { name: string; view: ClaimsView; expect: readonly string[] }[] = [
+  {
+    name: 'a node takes its own slot at once and leaves the others to theirs',
+    view: view({}),
+    expect: ['take 0', 'take L'],
+  },
+  {
+    name: 'a slot left free too long is taken by another node',
+    view: view({
+      claims: all({ '0': claim('n0'), '2': claim('n2'), L: claim('n2') }),
+      freeSince: new Map([['1', 0]]),
+      now: 3_000,
+    }),
+    expect: ['take 1'],
+  },
+  {
+    name: "a restarted process takes over its predecessor's claims at once",
+    view: view({
+      claims: all({
+        '0': claim('n0', 'old', 9),
+        '1': claim('n1'),
+        '2': claim('n2'),
+        L: claim('n0', 'old', 4),
+      }),
+    }),
+    expect: ['take 0', 'take L'],
+  },
+  {
+    name: 'a second share goes back to a steady node without one',
+    view: view({
+      claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n2'), L: claim('n2') }),
+      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true }],
+    }),
+    expect: ['hand 1'],
+  },
+  {
+    name: 'it does not go back to one that only just came up, or that cannot reach the state',
+    view: view({
+      claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n0'), L: claim('n2') }),
+      siblings: [
+        { node: 'n1', incarnation: '2', lease: 3, steadyMs: 100, stateOk: true },
+        { node: 'n2', incarnation: '2', lease: 4, steadyMs: 60_000, stateOk: false },
+      ],
+    }),
+    expect: [],
+  },
+];
+for (const row of decisions) {
+  test(`claims: ${row.name}`, () => {
+    assert.deepEqual(
+      decideClaims(row.view).map((action) => `${action._tag} ${action.slot}`),
+      row.expect,
+    );
+  });
+}
--- /dev/null
+++ b/src/claims/tenure.ts
@@ -0,0 +1,65 @@
+import { BEAT_FRESH_MS, CLAIM_MARGIN_MS, CLOCK_DRIFT } from '../constants.js';
+
+/**
+ * How long this node may act on the claims attached to its lease. The deadline is this node's own reckoning
+ * from the moment it *sent* its last good renewal; the state service never ends the lease before it.
+ */
+export type Tenure =
+  /** No lease: nothing may be done. */
+  | { readonly _tag: 'detached' }
+  /** The lease surely lasts until `until` (ms, steady clock). */
+  | { readonly _tag: 'holding'; readonly lease: number; readonly until: number }
+  /** The state service is down for most nodes, where no lease runs out: workers may still be answered. */
+  | { readonly _tag: 'riding'; readonly lease: number; readonly until: number }
+  /** The lease may be over: nobody is answered until a renewal says that it is not. */
+  | { readonly _tag: 'silent'; readonly lease: number };
+
+export type TenureEvent =
+  | { readonly _tag: 'granted'; readonly lease: number; readonly sentAt: number }
+  | { readonly _tag: 'renewed'; readonly lease: number; readonly sentAt: number }
+  | { readonly _tag: 'ended'; readonly lease: number }
+  | { readonly _tag: 'tick'; readonly now: number; readonly outage: boolean };
+
+export const deadline = (sentAt: number, ttlMs: number): number =>
+  sentAt + ttlMs * (1 - CLOCK_DRIFT) - CLAIM_MARGIN_MS;
+
+export const nextTenure = (tenure: Tenure, event: TenureEvent, ttlMs: number): Tenure => {
+  switch (event._tag) {
+    case 'granted':
+      return { _tag: 'holding', lease: event.lease, until: deadline(event.sentAt, ttlMs) };
+    case 'renewed':
+      if (tenure._tag === 'detached' || tenure.lease !== event.lease) return tenure;
+      return { _tag: 'holding', lease: event.lease, until: deadline(event.sentAt, ttlMs) };
+    case 'ended':
+      if (tenure._tag === 'detached' || tenure.lease !== event.lease) return tenure;
+      return { _tag: 'detached' };
+    case 'tick':
+      switch (tenure._tag) {
+        case 'detached':
+        case 'silent':
+          return tenure;
+        case 'holding':
+        case 'riding': {
+          if (event.outage) {
+            // After the outage the lease has its full time again, and siblings' word is at most this old.
+            const until = Math.max(tenure.until, deadline(event.now - BEAT_FRESH_MS, ttlMs));
+            return event.now < tenure.until && tenure._tag === 'holding'
+              ? tenure
+              : { _tag: 'riding', lease: tenure.lease, until };
+          }
+          return event.now < tenure.until ? tenure : { _tag: 'silent', lease: tenure.lease };
+        }
+      }
+  }
+};
+
+export const mayAct = (tenure: Tenure, now: number): boolean => {
+  switch (tenure._tag) {
+    case 'holding':
+    case 'riding':
+      return now < tenure.until;
+    case 'detached':
+    case 'silent':
+      return false;
+  }
+};
--- /dev/null
+++ b/src/constants.ts
@@ -0,0 +1,118 @@
+/**
+ * Every constant of the service, with its unit and the reason for its value. What differs between
+ * deployments never stands here: it comes from the settings file, the catalog or observation.
+ */
+
+/** ms: life of a node's lease on its claims. Long enough to survive a slow second on a small core and two
+ *  lost renewals, short enough that a dead node's share is taken over before most workers' leases end. */
+export const CLAIM_TTL_MS = 5_000;
+/** ms: between renewals. Four tries fit into one lease; costs each node under one request a second. */
+export const CLAIM_RENEW_MS = 1_200;
+/** Fraction: clocks of two machines drift apart by at most 0.05 % (protocol); doubled for both ends. */
+export const CLOCK_DRIFT = 0.001;
+/** ms: taken off a lease's end, for timers that fire late on a busy core. */
+export const CLAIM_MARGIN_MS = 300;
+/** ms: how long another node leaves a free claim to the node that it is meant for. */
+export const CLAIM_COURTESY_MS = 1_500;
+/** ms: between looks at the claims. */
+export const CLAIM_TICK_MS = 300;
+/** ms: a sibling must have answered steadily this long before a second share is handed back to it. */
+export const HANDBACK_STABLE_MS = 12_000;
+
+/** ms: between beats to each sibling; the leader acts on what beats say. */
+export const BEAT_MS = 1_000;
+/** ms: a sibling's word about the state service counts this long. */
+export const BEAT_FRESH_MS = 2_500;
+/** ms: wait for a sibling's answer. */
+export const MESH_TIMEOUT_MS = 900;
+/** ms: wait for a sibling's task counts while a user waits; the counts are for display only. */
+export const COUNTS_TIMEOUT_MS = 300;
+
+/** ms: wait for the state service. Normal answers take 10 ms, now and then a few hundred. */
+export const STORE_TIMEOUT_MS = 1_500;
+/** ms: wait for a lease renewal: several must fit in one lease. */
+export const RENEW_TIMEOUT_MS = 1_000;
+/** ms: how long one watch stays open. */
+export const WATCH_MS = 20_000;
+/** ms: pause after a failed watch or list before the next. */
+export const STORE_RETRY_MS = 300;
+/** Items: page size of lists; the service's own bound is 1,000. */
+export const LIST_PAGE = 500;
+/** Fraction of the node's request budget that only renewals and users' calls may use. */
+export const STORE_RESERVE = 0.35;
+/** ms: longest wait for budget before a call is given up as not carried out. */
+export const STORE_QUEUE_MS = 2_000;
+/** bytes: room for one transaction, below the protocol's 64 KiB for its frame. */
+export const TXN_BYTES = 56 * 1024;
+/** Tasks in one run record: 128 bindings of about 25 bytes stay below 4 KiB, half the smallest value size. */
+export const CHUNK_TASKS = 128;
+/** Tasks: largest gang; its bind must fit in one transaction of 64 KiB. */
+export const GANG_MAX_TASKS = 2_048;
+
+/** bytes: the protocol's bound on bodies. */
+export const BODY_MAX_BYTES = 64 * 1024;
+/** bytes: bound on what we read from the state service, the cloud and siblings. */
+export const ANSWER_MAX_BYTES = 16 * 1024 * 1024;
+/** Tasks of one job (protocol). */
+export const TASKS_MAX = 100_000;
+/** Characters: longest text field in a submission, so that a job's record stays small. */
+export const TEXT_MAX = 256;
+/** s: what a user is told to wait before asking again when the node can't answer now. */
+export const RETRY_AFTER_S = 1;
+/** ms: longest time a user's call may take here; the user gives up after 5 s, polls after 2 s. */
+export const USER_BUDGET_MS = 1_800;
+/** Fraction of the socket limit for incoming connections. */
+export const SOCKETS_IN = 0.8;
+/** Sockets to one address. */
+export const SOCKETS_OUT = 24;
+/** Sockets to a sibling: beats, task counts and moves. */
+export const SOCKETS_MESH = 6;
+
+/** ms: between placement rounds; events start one at once. */
+export const PLACE_TICK_MS = 250;
+/** ms: after a takeover, placement waits at most this long for the share's machines to report. */
+export const REBUILD_MS = 4_500;
+/** ms: pause between writes of finished tasks, so that they share transactions. */
+export const FLUSH_MS = 400;
+/** Fraction of the node's change budget that binding and flushing may use in one round. */
+export const ROUND_WRITES = 0.3;
+/** ms: added to a worker's lease before its tasks count as gone. */
+export const LEASE_MARGIN_MS = 1_000;
+/** Factor: a machine that has not reported after this many nominal boot times is given up. */
+export const BOOT_FACTOR = 2.5;
+/** s: added to that, for machines with very short boot times. */
+export const BOOT_SLACK_S = 20;
+/** s: an idle machine goes back after this; longer than one boot costs, shorter than the gap of demand. */
+export const IDLE_RETURN_S = 60;
+/** ms: a machine under suspicion gets no new tasks for this long. */
+export const SUSPECT_MS = 60_000;
+/** Machines: a job whose tasks failed on this many different machines is taken to be faulty itself. */
+export const JOB_ERRORS = 3;
+/** ms: first pause of a job that fails; doubles to the bound below. */
+export const JOB_BACKOFF_MS = 5_000;
+/** ms: longest pause of a failing job. */
+export const JOB_BACKOFF_MAX_MS = 120_000;
+/** s: grace beyond a task's own saving time when it is stopped. */
+export const SETTLE_EXTRA_S = 2;
+/** ms: a saving task that overstays its grace by this is ended without. */
+export const SETTLE_OVERRUN_MS = 4_000;
+
+/** ms: between the leader's rounds. */
+export const LEADER_TICK_MS = 500;
+/** ms: between reads of the machine list. */
+export const LIST_MS = 10_000;
+/** ms: between reads of the catalog. */
+export const CATALOG_MS = 60_000;
+/** ms: wait for the cloud. */
+export const CLOUD_TIMEOUT_MS = 6_000;
+/** ms: after "no capacity" for a type, zone and kind, other choices are tried for this long. */
+export const NO_CAPACITY_MS = 15_000;
+/** Machines in one rental request (protocol). */
+export const HIRE_MAX = 50;
+/** Names in one release (protocol). */
+export const RELEASE_MAX = 100;
+/** ms: pause after a cloud call that failed. */
+export const CLOUD_RETRY_MS = 1_500;
+
+/** Final answers kept in memory; the rest are read from the state service. */
+export const FINAL_CACHE = 2_000;
--- /dev/null
+++ b/src/fleet/cloud.ts
@@ -0,0 +1,149 @@
+import * as Effect from 'effect/Effect';
+import { CLOUD_TIMEOUT_MS } from '../constants.js';
+import { Client, type Target } from '../http.js';
+import type { MachineType } from '../jobs/model.js';
+import { Budget } from '../store/budget.js';
+
+/** The cloud's API; its wire words stay here. */
+export interface ListedMachine {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly state: 'booting' | 'running' | 'failed';
+  readonly ageS: number;
+}
+export type CatalogResult =
+  | { readonly _tag: 'types'; readonly types: readonly MachineType[] }
+  | { readonly _tag: 'failed'; readonly why: string };
+export type RentResult =
+  | { readonly _tag: 'rented'; readonly machines: readonly string[] }
+  | { readonly _tag: 'noCapacity' }
+  /** Not carried out, as far as the answer says. */
+  | { readonly _tag: 'refused'; readonly why: string }
+  /** May have been carried out, or may be later. */
+  | { readonly _tag: 'unknown'; readonly why: string };
+export type MachinesResult =
+  | { readonly _tag: 'page'; readonly machines: readonly ListedMachine[]; readonly more: boolean }
+  | { readonly _tag: 'failed'; readonly why: string };
+
+export interface RentRequest {
+  readonly name: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
+interface RawType {
+  sku: string;
+  vcpus: number;
+  accelerators: number;
+  memoryGb: number;
+  localGb: number;
+  hourly: number;
+  marketPrice: number;
+  readyS: number;
+  paddocks: string[];
+}
+
+export const readTypes = (raw: readonly RawType[]): readonly MachineType[] =>
+  raw.map((type) => ({
+    name: type.sku,
+    cpus: type.vcpus,
+    gpus: type.accelerators,
+    memoryGb: type.memoryGb,
+    cacheGb: type.localGb,
+    price: type.hourly,
+    spotPrice: type.marketPrice,
+    bootS: type.readyS,
+    zones: type.paddocks,
+  }));
+
+const STATES: Record<string, ListedMachine['state']> = {
+  starting: 'booting',
+  running: 'running',
+  failed: 'failed',
+};
+
+export class Cloud {
+  private readonly client: Client;
+  private readonly budget: Budget;
+  constructor(target: Target, rps: number, nodes: number, now: () => number) {
+    this.client = new Client(target, 4);
+    // Only the leader calls regularly; the others read the catalog at their start.
+    this.budget = new Budget(rps * (nodes > 1 ? 0.8 : 1), 0, CLOUD_TIMEOUT_MS, now);
+  }
+
+  private async call(method: string, path: string, body: unknown) {
+    if (!(await this.budget.take(1, 'user'))) return { _tag: 'answer' as const, status: 429, body: null };
+    return this.client.request(method, path, body, CLOUD_TIMEOUT_MS);
+  }
+
+  readonly catalog: Effect.Effect<CatalogResult> = Effect.promise(async (): Promise<CatalogResult> => {
+    const answer = await this.call('GET', '/catalog', undefined);
+    if (answer._tag === 'silence') return { _tag: 'failed', why: answer.why };
+    if (answer.status !== 200) return { _tag: 'failed', why: `status ${answer.status}` };
+    return { _tag: 'types', types: readTypes((answer.body as { breeds: RawType[] }).breeds) };
+  });
+
+  rent(request: RentRequest): Effect.Effect<RentResult> {
+    return Effect.promise(async (): Promise<RentResult> => {
+      const answer = await this.call('POST', '/machines', {
+        hire: request.name,
+        breed: request.type,
+        paddock: request.zone,
+        agistment: request.spot,
+        howMany: request.count,
+      });
+      if (answer._tag === 'silence') return { _tag: 'unknown', why: answer.why };
+      const body = answer.body as { drovers?: string[]; error?: string } | null;
+      if (answer.status === 200) return { _tag: 'rented', machines: body?.drovers ?? [] };
+      if (answer.status === 503 && body?.error === 'no capacity') return { _tag: 'noCapacity' };
+      return { _tag: 'refused', why: `status ${answer.status} ${body?.error ?? ''}` };
+    });
+  }
+
+  /** True: by the time of the answer these machines and all on them are gone. */
+  release(ids: readonly string[]): Effect.Effect<boolean> {
+    return Effect.promise(async () => {
+      const answer = await this.call('POST', '/machines/release', { drovers: ids });
+      return answer._tag === 'answer' && answer.status === 200;
+    });
+  }
+
+  page(after: string | null): Effect.Effect<MachinesResult> {
+    return Effect.promise(async (): Promise<MachinesResult> => {
+      const answer = await this.call(
+        'GET',
+        `/machines?most=500${after === null ? '' : `&since=${encodeURIComponent(after)}`}`,
+        undefined,
+      );
+      if (answer._tag === 'silence') return { _tag: 'failed', why: answer.why };
+      if (answer.status !== 200) return { _tag: 'failed', why: `status ${answer.status}` };
+      const body = answer.body as {
+        drovers: {
+          uid: string;
+          breed: string;
+          paddock: string;
+          agistment: boolean;
+          status: string;
+          ageS: number;
+        }[];
+        more: boolean;
+      };
+      return {
+        _tag: 'page',
+        more: body.more,
+        machines: body.drovers.map((raw) => ({
+          id: raw.uid,
+          type: raw.breed,
+          zone: raw.paddock,
+          spot: raw.agistment,
+          state: STATES[raw.status] ?? 'running',
+          ageS: raw.ageS,
+        })),
+      };
+    });
+  }
+}
--- /dev/null
+++ b/src/fleet/leader.ts
@@ -0,0 +1,258 @@
+import * as Effect from 'effect/Effect';
+import {
+  CATALOG_MS,
+  CLOUD_RETRY_MS,
+  LEADER_TICK_MS,
+  LIST_MS,
+  NO_CAPACITY_MS,
+  RELEASE_MAX,
+  STORE_RETRY_MS,
+} from '../constants.js';
+import type { Catalog, MachineType } from '../jobs/model.js';
+import { log } from '../log.js';
+import type { Store } from '../store/client.js';
+import { CATALOG_KEY, claimKey, machineKey } from '../store/keys.js';
+import type { Mirror } from '../store/mirror.js';
+import type { Cloud, ListedMachine } from './cloud.js';
+import { planSteps } from './plan.js';
+import { readMachineRecord, writeMachineRecord, type MachineRecord, type Summary } from './records.js';
+
+export interface LeaderInput {
+  readonly store: Store;
+  readonly mirror: Mirror;
+  readonly cloud: Cloud;
+  readonly shares: number;
+  readonly listLagS: number;
+  readonly catalog: () => Catalog | null;
+  /** The revision of our claim to lead, if we may act on it now. */
+  readonly entitled: () => number | null;
+  readonly summaries: () => readonly Summary[];
+  readonly move: (from: number, machine: string, to: number) => Effect.Effect<unknown>;
+  readonly now: () => number;
+  readonly wall: () => number;
+}
+
+/** Rents, releases, adopts and moves: the one place that speaks to the cloud about machines. */
+export class Leader {
+  private readonly refusedUntil = new Map<string, number>();
+  private readonly releasedAt = new Map<string, number>();
+  private sequence = 0;
+  private listedAt = 0;
+  private catalogAt = 0;
+  /** Summaries older than this revision don't know of machines rented since. */
+  private readonly rentedAt = new Map<number, number>();
+  private readonly adopting = new Map<string, MachineRecord>();
+
+  constructor(private readonly input: LeaderInput) {}
+
+  /** A worker that no record knows reported somewhere. */
+  adopt(id: string, type: string, zone: string, spot: boolean): void {
+    if (this.input.mirror.get(machineKey(id)) || this.adopting.has(id)) return;
+    const released = this.releasedAt.get(id);
+    if (released !== undefined) return;
+    this.adopting.set(id, {
+      share: this.smallestShare(type, zone, spot),
+      type,
+      zone,
+      spot,
+      at: this.input.wall(),
+      releasing: false,
+    });
+  }
+
+  private smallestShare(type: string, zone: string, spot: boolean): number {
+    const counts = Array.from({ length: this.input.shares }, () => 0);
+    const add = (record: MachineRecord): void => {
+      if (record.type === type && record.spot === spot)
+        counts[record.share] = (counts[record.share] ?? 0) + 1 + (record.zone === zone ? 0.1 : 0);
+    };
+    for (const item of this.input.mirror.under('w/m/')) add(readMachineRecord(item.value));
+    for (const record of this.adopting.values()) add(record);
+    let best = 0;
+    counts.forEach((count, share) => {
+      if (count < (counts[best] ?? 0)) best = share;
+    });
+    return best;
+  }
+
+  readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
+    for (;;) {
+      yield* Effect.sleep(LEADER_TICK_MS);
+      yield* this.readCatalog();
+      const claim = this.input.entitled();
+      if (claim === null || !this.input.mirror.ready) {
+        this.adopting.clear();
+        continue;
+      }
+      yield* this.recordAdopted(claim);
+      yield* this.release(claim);
+      yield* this.readList();
+      yield* this.act(claim);
+    }
+  });
+
+  private readCatalog(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const now = this.input.now();
+      const lead = this.input.entitled() !== null;
+      // Only the leader refreshes the durable copy; anyone fills it while there is none.
+      if (!this.input.mirror.ready || (this.input.catalog() !== null && !lead)) return;
+      if (
+        this.catalogAt !== 0 &&
+        now - this.catalogAt < (this.input.catalog() === null ? CLOUD_RETRY_MS : CATALOG_MS)
+      )
+        return;
+      this.catalogAt = now;
+      const result = yield* this.input.cloud.catalog;
+      if (result._tag === 'failed') {
+        log.info({ event: 'catalog.failed', why: result.why });
+        return;
+      }
+      const known = this.input.mirror.get(CATALOG_KEY);
+      if (known && JSON.stringify(known.value) === JSON.stringify(result.types)) return;
+      yield* this.input.store.txn(
+        [{ key: CATALOG_KEY, version: known?.version ?? 0 }],
+        [{ _tag: 'put', key: CATALOG_KEY, value: result.types }],
+        'user',
+      );
+    });
+  }
+
+  private recordAdopted(claim: number): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const batch = [...this.adopting].slice(0, this.input.store.txnOps);
+      for (const [id, record] of batch) {
+        this.adopting.delete(id);
+        if (this.input.mirror.get(machineKey(id))) continue;
+        const result = yield* this.record(claim, id, record);
+        log.info({ event: 'machine.adopted', machine: id, share: record.share, result });
+      }
+    });
+  }
+
+  private record(claim: number, id: string, record: MachineRecord): Effect.Effect<string> {
+    return Effect.gen({ self: this }, function* () {
+      const result = yield* this.input.store.txn(
+        [
+          { key: claimKey('L'), version: claim },
+          { key: machineKey(id), version: 0 },
+        ],
+        [{ _tag: 'put', key: machineKey(id), value: writeMachineRecord(record) }],
+        'user',
+      );
+      if (result._tag === 'committed') this.rentedAt.set(record.share, result.revision);
+      return result._tag;
+    });
+  }
+
+  private release(claim: number): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const wanted = [...this.input.mirror.under('w/m/')]
+        .filter((item) => readMachineRecord(item.value).releasing)
+        .slice(0, Math.min(RELEASE_MAX, this.input.store.txnOps));
+      if (wanted.length === 0) return;
+      const ids = wanted.map((item) => item.key.slice('w/m/'.length));
+      const released = yield* this.input.cloud.release(ids);
+      log.info({ event: 'machine.released', machines: ids, ok: released });
+      if (!released) return;
+      for (const id of ids) this.releasedAt.set(id, this.input.now());
+      for (let tries = 0; tries < 5; tries += 1) {
+        const result = yield* this.input.store.txn(
+          [
+            { key: claimKey('L'), version: claim },
+            ...wanted.map((item) => ({ key: item.key, version: item.version })),
+          ],
+          wanted.map((item) => ({ _tag: 'delete', key: item.key })),
+          'user',
+        );
+        if (result._tag === 'committed' || result._tag === 'conflict') return;
+        yield* Effect.sleep(STORE_RETRY_MS);
+      }
+    });
+  }
+
+  /** Machines that nobody knows are used or returned; those that stopped by themselves are cleared away. */
+  private readList(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const now = this.input.now();
+      if (now - this.listedAt < LIST_MS) return;
+      this.listedAt = now;
+      const listed: ListedMachine[] = [];
+      let after: string | null = null;
+      for (;;) {
+        const page: import('./cloud.js').MachinesResult = yield* this.input.cloud.page(after);
+        if (page._tag === 'failed') return;
+        listed.push(...page.machines);
+        const last = page.machines.at(-1);
+        if (!page.more || !last) break;
+        after = last.id;
+      }
+      const lagS = this.input.listLagS * 2 + 5;
+      for (const [id, at] of this.releasedAt) if (now - at > lagS * 4_000) this.releasedAt.delete(id);
+      for (const machine of listed) {
+        if (machine.ageS < lagS || this.input.mirror.get(machineKey(machine.id))) continue;
+        if (this.releasedAt.has(machine.id)) continue;
+        this.adopt(machine.id, machine.type, machine.zone, machine.spot);
+      }
+    });
+  }
+
+  private act(claim: number): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const catalog = this.input.catalog();
+      if (!catalog) return;
+      const summaries = this.input
+        .summaries()
+        .filter((summary) => summary.revision >= (this.rentedAt.get(summary.share) ?? 0));
+      const now = this.input.now();
+      const key = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
+      const steps = planSteps({
+        summaries,
+        catalog,
+        refused: (type, zone, spot) => (this.refusedUntil.get(key(type, zone, spot)) ?? 0) > now,
+      });
+      for (const step of steps) {
+        if (this.input.entitled() !== claim) return;
+        if (step._tag === 'move') {
+          yield* this.input.move(step.from, step.machine, step.to);
+          continue;
+        }
+        this.sequence += 1;
+        // The claim's revision is durable and belongs to this process alone: such a name is never used twice.
+        const name = `r-${claim}-${this.sequence}`;
+        const result = yield* this.input.cloud.rent({ name, ...step });
+        log.info({
+          event: 'machine.rent',
+          name,
+          ...step,
+          result: result._tag,
+          got: result._tag === 'rented' ? result.machines : undefined,
+        });
+        if (result._tag === 'rented') {
+          if (result.machines.length < step.count)
+            this.refusedUntil.set(key(step.type, step.zone, step.spot), now + NO_CAPACITY_MS);
+          for (const id of result.machines) {
+            const record = {
+              share: step.share,
+              type: step.type,
+              zone: step.zone,
+              spot: step.spot,
+              at: this.input.wall(),
+              releasing: false,
+            };
+            const written = yield* this.record(claim, id, record);
+            if (written !== 'committed') this.adopting.set(id, record);
+          }
+        } else if (result._tag === 'noCapacity') {
+          this.refusedUntil.set(key(step.type, step.zone, step.spot), now + NO_CAPACITY_MS);
+        } else {
+          yield* Effect.sleep(CLOUD_RETRY_MS);
+          return;
+        }
+      }
+    });
+  }
+}
+
+export const readCatalog = (value: unknown): Catalog =>
+  new Map((value as MachineType[]).map((type) => [type.name, type]));
--- /dev/null
+++ b/src/fleet/records.ts
@@ -0,0 +1,63 @@
+/** The durable record of a machine: which share it belongs to. Its revision takes part in the worker's token. */
+export interface MachineRecord {
+  readonly share: number;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  /** ms since the epoch. */
+  readonly at: number;
+  /** Its holder wants it released and binds nothing to it any more. */
+  readonly releasing: boolean;
+}
+
+export const writeMachineRecord = (record: MachineRecord): unknown => ({
+  s: record.share,
+  b: record.type,
+  z: record.zone,
+  p: record.spot,
+  t: record.at,
+  r: record.releasing,
+});
+
+export const readMachineRecord = (data: unknown): MachineRecord => {
+  const raw = data as { s: number; b: string; z: string; p: boolean; t: number; r: boolean };
+  return { share: raw.s, type: raw.b, zone: raw.z, spot: raw.p, at: raw.t, releasing: raw.r };
+};
+
+/** What a share still needs, as its holder tells the leader: one entry a class of like jobs. */
+export interface Need {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly spot: boolean;
+  readonly gang: boolean;
+  readonly oneZone: boolean;
+  readonly priority: number;
+  /** Tasks in all; for gangs the sizes are listed too. */
+  readonly tasks: number;
+  readonly sizes: readonly number[];
+  /** Of a one-zone gang: room that its share already has, by zone. */
+  readonly room: Readonly<Record<string, number>>;
+  /** ms that the oldest has waited. */
+  readonly waitedMs: number;
+}
+
+export interface Spare {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly idleS: number;
+}
+
+export interface Summary {
+  readonly share: number;
+  readonly claim: number;
+  /** Revision of the shared keys that this summary reflects. */
+  readonly revision: number;
+  readonly needs: readonly Need[];
+  /** Machines without any task. */
+  readonly spares: readonly Spare[];
+}
--- /dev/null
+++ b/src/jobs/codec.ts
@@ -0,0 +1,144 @@
+import * as Schema from 'effect/Schema';
+import * as Result from 'effect/Result';
+import { TASKS_MAX, TEXT_MAX } from '../constants.js';
+import type { FinalRecord, FinalState, JobKind, JobRecord, JobSpec, Priority } from './model.js';
+
+/** The users' wire words, and the records in the state service. */
+const Amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0));
+const Text = Schema.String.check(Schema.isMinLength(1), Schema.isMaxLength(TEXT_MAX));
+const nullable = <S extends Schema.Top>(schema: S) => Schema.optional(Schema.NullOr(schema));
+
+const ID = /^job-\d{1,18}$/;
+export const isJobId = (text: string): boolean => ID.test(text);
+
+const Submission = Schema.Struct({
+  uid: Schema.String.check(Schema.isPattern(ID)),
+  herd: Text,
+  owner: Text,
+  shape: Schema.Literals(['sweep', 'group', 'service']),
+  urgency: Schema.Literals(['prod', 'urgent', 'standard', 'best_effort']),
+  heads: Schema.Int.check(Schema.isGreaterThanOrEqualTo(1), Schema.isLessThanOrEqualTo(TASKS_MAX)),
+  vcpus: Amount,
+  accelerators: Amount,
+  memoryGb: Amount,
+  brand: Text,
+  sizeGb: Amount,
+  breeds: nullable(Schema.Array(Text)),
+  paddock: nullable(Text),
+  together: Schema.Boolean,
+  scatter: Schema.Boolean,
+  agistment: Schema.Boolean,
+  expectedS: Amount,
+  musterEveryS: Amount,
+  musterS: Amount,
+  dueS: nullable(Amount),
+});
+
+const decodeSubmission = Schema.decodeUnknownResult(Submission);
+
+const KINDS: Record<string, JobKind> = { sweep: 'array', group: 'gang', service: 'service' };
+const PRIORITIES: Record<string, Priority> = { prod: 3, urgent: 2, standard: 1, best_effort: 0 };
+
+export type Submitted =
+  { readonly _tag: 'job'; readonly spec: JobSpec } | { readonly _tag: 'malformed'; readonly why: string };
+
+export const readSubmission = (value: unknown): Submitted => {
+  const result = decodeSubmission(value);
+  if (!Result.isSuccess(result)) {
+    return { _tag: 'malformed', why: String(result.failure).replace(/\s+/g, ' ').slice(0, 300) };
+  }
+  const s = result.success;
+  return {
+    _tag: 'job',
+    spec: {
+      id: s.uid,
+      klass: s.herd,
+      team: s.owner,
+      kind: KINDS[s.shape] ?? 'array',
+      priority: PRIORITIES[s.urgency] ?? 0,
+      tasks: s.heads,
+      cpus: s.vcpus,
+      gpus: s.accelerators,
+      memoryGb: s.memoryGb,
+      types: s.breeds ?? null,
+      zone: s.paddock ?? null,
+      oneZone: s.together,
+      spread: s.scatter,
+      spot: s.agistment,
+      image: s.brand,
+      imageGb: s.sizeGb,
+      estimateS: s.expectedS,
+      checkpointS: s.musterEveryS,
+      saveS: s.musterS,
+      deadlineS: s.dueS ?? null,
+    },
+  };
+};
+
+export type JobStatus = 'pending' | 'running' | FinalState;
+
+export const writeStatus = (
+  id: string,
+  status: JobStatus,
+  counts?: { done: number; running: number },
+): unknown => ({
+  uid: id,
+  status: status === 'cancelled' ? 'withdrawn' : status,
+  ...(counts ?? {}),
+});
+
+/** Records keep the field names of the model; a spec is stored as a list, which is a third the size. */
+const SPEC_FIELDS = [
+  'id',
+  'klass',
+  'team',
+  'kind',
+  'priority',
+  'tasks',
+  'cpus',
+  'gpus',
+  'memoryGb',
+  'types',
+  'zone',
+  'oneZone',
+  'spread',
+  'spot',
+  'image',
+  'imageGb',
+  'estimateS',
+  'checkpointS',
+  'saveS',
+  'deadlineS',
+] as const satisfies readonly (keyof JobSpec)[];
+
+export const writeJobRecord = (job: JobRecord): unknown => ({
+  s: SPEC_FIELDS.map((field) => job.spec[field]),
+  t: job.at,
+  c: job.cancelled,
+});
+
+export const readJobRecord = (data: unknown): JobRecord => {
+  const raw = data as { s: unknown[]; t: number; c: boolean };
+  const spec: Record<string, unknown> = {};
+  SPEC_FIELDS.forEach((field, index) => {
+    spec[field] = raw.s[index];
+  });
+  return { spec: spec as unknown as JobSpec, at: raw.t, cancelled: raw.c };
+};
+
+export const writeFinalRecord = (final: FinalRecord): unknown => ({
+  s: final.state,
+  t: final.at,
+  n: final.tasks,
+});
+export const readFinalRecord = (data: unknown): FinalRecord => {
+  const raw = data as { s: FinalState; t: number; n: number };
+  return { state: raw.s, at: raw.t, tasks: raw.n };
+};
+
+export const taskName = (job: string, index: number): string => `${job}/${index}`;
+export const parseTaskName = (name: string): { job: string; index: number } | null => {
+  const cut = name.lastIndexOf('/');
+  const index = Number(name.slice(cut + 1));
+  return cut > 0 && Number.isInteger(index) && index >= 0 ? { job: name.slice(0, cut), index } : null;
+};
--- /dev/null
+++ b/src/jobs/model.ts
@@ -0,0 +1,86 @@
+/** Jobs, their tasks and what is durable about them. Plain data; no wire words. */
+
+export type JobKind = 'array' | 'gang' | 'service';
+/** Larger is more important. */
+export type Priority = 0 | 1 | 2 | 3;
+
+export interface JobSpec {
+  readonly id: string;
+  readonly klass: string;
+  readonly team: string;
+  readonly kind: JobKind;
+  readonly priority: Priority;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly estimateS: number;
+  readonly checkpointS: number;
+  readonly saveS: number;
+  readonly deadlineS: number | null;
+}
+
+/** The durable record of a job that is not over: written by whichever node takes the user's call. */
+export interface JobRecord {
+  readonly spec: JobSpec;
+  /** ms since the epoch, of the accepting node. */
+  readonly at: number;
+  readonly cancelled: boolean;
+}
+
+export type FinalState = 'done' | 'cancelled';
+
+export interface FinalRecord {
+  readonly state: FinalState;
+  readonly at: number;
+  readonly tasks: number;
+}
+
+export interface MachineType {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly cacheGb: number;
+  readonly price: number;
+  readonly spotPrice: number;
+  readonly bootS: number;
+  readonly zones: readonly string[];
+}
+
+export type Catalog = ReadonlyMap<string, MachineType>;
+
+export interface Demand {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+}
+
+export const EPS = 1e-9;
+
+export const fitsIn = (need: Demand, room: Demand): boolean =>
+  need.cpus <= room.cpus + EPS && need.gpus <= room.gpus + EPS && need.memoryGb <= room.memoryGb + EPS;
+
+/** How many tasks of this size a room holds; bounded, since a task may ask for nothing at all. */
+export const howMany = (need: Demand, room: Demand, most: number): number => {
+  let count = most;
+  if (need.cpus > 0) count = Math.min(count, Math.floor((room.cpus + EPS) / need.cpus));
+  if (need.gpus > 0) count = Math.min(count, Math.floor((room.gpus + EPS) / need.gpus));
+  if (need.memoryGb > 0) count = Math.min(count, Math.floor((room.memoryGb + EPS) / need.memoryGb));
+  return Math.max(0, count);
+};
+
+export const typeAllowed = (spec: JobSpec, type: string): boolean =>
+  spec.types === null || spec.types.includes(type);
+
+export const placeAllowed = (spec: JobSpec, place: { type: string; zone: string; spot: boolean }): boolean =>
+  typeAllowed(spec, place.type) &&
+  (spec.zone === null || spec.zone === place.zone) &&
+  (spec.spot || !place.spot);
--- /dev/null
+++ b/src/placement/pack.test.ts
@@ -0,0 +1,197 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobSpec } from '../jobs/model.js';
+import { packAll, quotaRoom, type Ask, type Limit, type Room } from './pack.js';
+
+const spec = (over: Partial<JobSpec>): JobSpec => ({
+  id: 'job-1',
+  klass: 'k',
+  team: 't',
+  kind: 'array',
+  priority: 1,
+  tasks: 1,
+  cpus: 8,
+  gpus: 1,
+  memoryGb: 8,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  image: 'img',
+  imageGb: 1,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...over,
+});
+const ask = (over: Partial<JobSpec>, rest: Partial<Ask> = {}): Ask => {
+  const made = spec(over);
+  return {
+    job: made.id,
+    spec: made,
+    waiting: Array.from({ length: made.tasks }, (_, index) => index),
+    inZones: new Map(),
+    failedOn: new Set(),
+    at: 0,
+    withinGuarantee: false,
+    ...rest,
+  };
+};
+const room = (id: string, zone: string, freeGpus: number, over: Partial<Room> = {}): Room => ({
+  id,
+  type: 'g',
+  zone,
+  spot: false,
+  total: { cpus: 64, gpus: 8, memoryGb: 64 },
+  free: { cpus: freeGpus * 8, gpus: freeGpus, memoryGb: freeGpus * 8 },
+  images: new Set(),
+  live: true,
+  kept: false,
+  ...over,
+});
+const LIMIT: Limit = { cpusMax: 0, gpusMax: 100 };
+
+const rows: readonly {
+  name: string;
+  asks: readonly Ask[];
+  rooms: readonly Room[];
+  limit?: Limit;
+  used?: number;
+  puts: readonly string[];
+}[] = [
+  {
+    name: 'a gang with room for all but one of its tasks binds none',
+    asks: [ask({ kind: 'gang', tasks: 4, gpus: 8, cpus: 64 })],
+    rooms: [room('a', 'x', 8), room('b', 'x', 8), room('c', 'y', 8)],
+    puts: [],
+  },
+  {
+    name: 'a one-zone gang does not add up room of two zones',
+    asks: [ask({ kind: 'gang', tasks: 3, gpus: 8, cpus: 64, oneZone: true })],
+    rooms: [room('a', 'x', 8), room('b', 'x', 8), room('c', 'y', 8)],
+    puts: [],
+  },
+  {
+    name: 'a one-zone gang goes to the fullest zone in which it fits',
+    asks: [ask({ kind: 'gang', tasks: 1, gpus: 8, cpus: 64, oneZone: true })],
+    rooms: [room('a', 'x', 8), room('b', 'x', 8), room('c', 'y', 8), room('d', 'y', 2)],
+    puts: ['job-1/0@c'],
+  },
+  {
+    name: 'equally full zones: by name',
+    asks: [ask({ kind: 'gang', tasks: 1, gpus: 8, cpus: 64, oneZone: true })],
+    rooms: [room('b', 'y', 8), room('a', 'x', 8)],
+    puts: ['job-1/0@a'],
+  },
+  {
+    name: 'a spread job puts at most half, rounded up, in one zone',
+    asks: [ask({ kind: 'array', tasks: 5, spread: true })],
+    rooms: [room('a', 'x', 8), room('b', 'y', 1)],
+    puts: ['job-1/0@b', 'job-1/1@a', 'job-1/2@a', 'job-1/3@a'],
+  },
+  {
+    name: 'tasks that may still be in a zone count for a spread job',
+    asks: [ask({ tasks: 2, spread: true }, { waiting: [1], inZones: new Map([['x', 1]]) })],
+    rooms: [room('a', 'x', 8)],
+    puts: [],
+  },
+  {
+    name: 'a one-zone array stays in the zone that holds its tasks',
+    asks: [ask({ tasks: 2, oneZone: true }, { waiting: [1], inZones: new Map([['y', 1]]) })],
+    rooms: [room('a', 'x', 8), room('b', 'y', 1)],
+    puts: ['job-1/1@b'],
+  },
+  {
+    name: 'no spot machine for a job that does not allow it, no machine on which it failed',
+    asks: [ask({ tasks: 2 }, { failedOn: new Set(['b']) })],
+    rooms: [room('a', 'x', 8, { spot: true }), room('b', 'x', 8), room('c', 'x', 1)],
+    puts: ['job-1/0@c'],
+  },
+  {
+    name: 'the limit counts what is used already',
+    asks: [ask({ tasks: 5 })],
+    rooms: [room('a', 'x', 8)],
+    limit: { cpusMax: 0, gpusMax: 6 },
+    used: 4,
+    puts: ['job-1/0@a', 'job-1/1@a'],
+  },
+  {
+    name: 'a gang over its limit waits and leaves the room to others',
+    asks: [ask({ id: 'job-1', kind: 'gang', tasks: 4 }), ask({ id: 'job-2', tasks: 1 })],
+    rooms: [room('a', 'x', 8)],
+    limit: { cpusMax: 0, gpusMax: 3 },
+    puts: ['job-2/0@a'],
+  },
+  {
+    name: 'a class that found no room is not tried again in the same round, another one is',
+    asks: [
+      ask({ id: 'job-1', kind: 'gang', tasks: 9 }),
+      ask({ id: 'job-2', kind: 'gang', tasks: 9 }),
+      ask({ id: 'job-3', kind: 'gang', tasks: 2 }),
+    ],
+    rooms: [room('a', 'x', 8)],
+    puts: ['job-3/0@a', 'job-3/1@a'],
+  },
+  {
+    name: 'the fullest machine first, among machines that have the image',
+    asks: [ask({ tasks: 2 })],
+    rooms: [
+      room('a', 'x', 8, { images: new Set(['img']) }),
+      room('b', 'x', 2),
+      room('c', 'x', 1, { images: new Set(['img']) }),
+    ],
+    puts: ['job-1/0@c', 'job-1/1@a'],
+  },
+];
+for (const row of rows) {
+  test(`pack: ${row.name}`, () => {
+    const uses = new Map([['t', { cpus: 0, gpus: row.used ?? 0 }]]);
+    const packed = packAll(row.asks, row.rooms, new Map([['t', row.limit ?? LIMIT]]), uses);
+    assert.deepEqual(
+      packed.puts.map((put) => `${put.job}/${put.index}@${put.machine}`),
+      row.puts,
+    );
+  });
+}
+
+const quotas: readonly {
+  name: string;
+  need: { cpus: number; gpus: number };
+  limit: Limit;
+  use: { cpus: number; gpus: number };
+  room: number;
+}[] = [
+  {
+    name: 'GPU tasks of a team without a CPU limit count by GPUs',
+    need: { cpus: 21, gpus: 4 },
+    limit: { cpusMax: 0, gpusMax: 24 },
+    use: { cpus: 0, gpus: 0 },
+    room: 6,
+  },
+  {
+    name: 'CPU tasks of a team without a CPU limit never run',
+    need: { cpus: 1, gpus: 0 },
+    limit: { cpusMax: 0, gpusMax: 24 },
+    use: { cpus: 0, gpus: 0 },
+    room: 0,
+  },
+  {
+    name: 'GPU tasks of a team without a GPU limit never run',
+    need: { cpus: 1, gpus: 1 },
+    limit: { cpusMax: 9, gpusMax: 0 },
+    use: { cpus: 0, gpus: 0 },
+    room: 0,
+  },
+  {
+    name: 'both limits count where both are set',
+    need: { cpus: 2, gpus: 1 },
+    limit: { cpusMax: 9, gpusMax: 8 },
+    use: { cpus: 4, gpus: 1 },
+    room: 2,
+  },
+];
+for (const row of quotas) {
+  test(`quota: ${row.name}`, () => assert.equal(quotaRoom(row.need, row.limit, row.use, 50), row.room));
+}
--- /dev/null
+++ b/src/placement/pack.ts
@@ -0,0 +1,247 @@
+import { EPS, fitsIn, howMany, placeAllowed, type Demand, type JobSpec } from '../jobs/model.js';
+
+/** Where tasks go: pure functions over plain data. */
+export interface Room {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly total: Demand;
+  readonly free: { cpus: number; gpus: number; memoryGb: number };
+  readonly images: ReadonlySet<string>;
+  /** False: still booting, or not heard from yet; counts for planning, takes no tasks. */
+  readonly live: boolean;
+  /** A spot-capable task should rather not take it. */
+  readonly kept: boolean;
+}
+
+export interface Ask {
+  readonly job: string;
+  readonly spec: JobSpec;
+  /** Indexes of the tasks that wait (gangs: all of them). */
+  readonly waiting: readonly number[];
+  /** Tasks of the job that are, or may be, on machines, by zone. */
+  readonly inZones: ReadonlyMap<string, number>;
+  readonly failedOn: ReadonlySet<string>;
+  readonly at: number;
+  readonly withinGuarantee: boolean;
+}
+
+export interface Use {
+  cpus: number;
+  gpus: number;
+}
+export interface Limit {
+  readonly cpusMax: number;
+  readonly gpusMax: number;
+}
+
+export interface Put {
+  readonly job: string;
+  readonly index: number;
+  readonly machine: string;
+}
+
+/** Jobs alike in all that placement looks at are one class: decided as one. */
+export const classOf = (spec: JobSpec): string =>
+  [
+    spec.kind,
+    spec.kind === 'gang' ? spec.tasks : 0,
+    spec.cpus,
+    spec.gpus,
+    spec.memoryGb,
+    spec.types?.join('+') ?? '*',
+    spec.zone ?? '*',
+    spec.oneZone ? 1 : 0,
+    spec.spread ? 1 : 0,
+    spec.spot ? 1 : 0,
+  ].join('|');
+
+/**
+ * Tasks of this size that the team may still start. A limit of 0 means none: whoever asks for GPUs needs a
+ * GPU limit; CPUs are counted where the team has a CPU limit, and always for tasks without GPUs.
+ */
+export const quotaRoom = (
+  spec: Pick<JobSpec, 'cpus' | 'gpus'>,
+  limit: Limit,
+  use: Use,
+  most: number,
+): number => {
+  let count = most;
+  if (spec.gpus > 0) count = Math.min(count, Math.floor((limit.gpusMax - use.gpus + EPS) / spec.gpus));
+  if (spec.cpus > 0 && (limit.cpusMax > 0 || spec.gpus === 0)) {
+    count = Math.min(count, Math.floor((limit.cpusMax - use.cpus + EPS) / spec.cpus));
+  }
+  return Math.max(0, count);
+};
+
+const take = (room: Room, need: Demand, count: number): void => {
+  room.free.cpus -= need.cpus * count;
+  room.free.gpus -= need.gpus * count;
+  room.free.memoryGb -= need.memoryGb * count;
+};
+
+/** MostAllocated: the mean share in use over CPUs, memory and GPUs (where there are any). */
+export const fullness = (rooms: readonly Room[]): number => {
+  let sum = 0;
+  let parts = 0;
+  for (const field of ['cpus', 'memoryGb', 'gpus'] as const) {
+    let total = 0;
+    let free = 0;
+    for (const room of rooms) {
+      total += room.total[field];
+      free += room.free[field];
+    }
+    if (total > 0) {
+      sum += (total - free) / total;
+      parts += 1;
+    }
+  }
+  return parts === 0 ? 0 : sum / parts;
+};
+
+const byName = (a: { id: string }, b: { id: string }): number => (a.id < b.id ? -1 : a.id > b.id ? 1 : 0);
+
+/** Best machine first: not one kept for others, the cheaper kind, with the image, the fullest, by name. */
+const rank = (rooms: readonly Room[], spec: JobSpec): readonly Room[] =>
+  rooms
+    .map((room) => ({ room, full: fullness([room]) }))
+    .sort(
+      (a, b) =>
+        Number(a.room.kept) - Number(b.room.kept) ||
+        Number(b.room.spot) - Number(a.room.spot) ||
+        Number(b.room.images.has(spec.image)) - Number(a.room.images.has(spec.image)) ||
+        b.full - a.full ||
+        byName(a.room, b.room),
+    )
+    .map((entry) => entry.room);
+
+const usable = (ask: Ask, rooms: readonly Room[]): readonly Room[] =>
+  rooms.filter(
+    (room) =>
+      placeAllowed(ask.spec, room) &&
+      !(room.kept && ask.spec.spot) &&
+      !ask.failedOn.has(room.id) &&
+      fitsIn(ask.spec, room.free),
+  );
+
+const fill = (
+  ask: Ask,
+  rooms: readonly Room[],
+  count: number,
+  zoneCap: number,
+): { room: Room; count: number }[] => {
+  const chosen: { room: Room; count: number }[] = [];
+  const inZone = new Map(ask.inZones);
+  let left = count;
+  for (const room of rank(rooms, ask.spec)) {
+    if (left <= 0) break;
+    const used = inZone.get(room.zone) ?? 0;
+    const here = Math.min(howMany(ask.spec, room.free, left), zoneCap - used);
+    if (here <= 0) continue;
+    chosen.push({ room, count: here });
+    inZone.set(room.zone, used + here);
+    left -= here;
+  }
+  return chosen;
+};
+
+/** The candidate zones of an ask: one entry for each set of machines that it may use together. */
+const zonesOf = (ask: Ask, rooms: readonly Room[]): Map<string, Room[]> => {
+  const zones = new Map<string, Room[]>();
+  const occupied = [...ask.inZones].filter(([, count]) => count > 0).map(([zone]) => zone);
+  for (const room of rooms) {
+    const zone = ask.spec.oneZone ? room.zone : '';
+    // Once some tasks run, only the zone that holds them counts.
+    if (ask.spec.oneZone && occupied.length > 0 && !occupied.every((held) => held === zone)) continue;
+    const list = zones.get(zone);
+    if (list) list.push(room);
+    else zones.set(zone, [room]);
+  }
+  return zones;
+};
+
+export const packOne = (ask: Ask, rooms: readonly Room[], mostTasks: number): readonly Put[] => {
+  const want = Math.min(ask.waiting.length, mostTasks);
+  const gang = ask.spec.kind === 'gang';
+  if (want <= 0 || (gang && want < ask.spec.tasks)) return [];
+  const zoneCap = ask.spec.spread ? Math.ceil(ask.spec.tasks / 2) : Number.POSITIVE_INFINITY;
+  const fits = usable(ask, rooms);
+  let best: { score: number; count: number; zone: string; chosen: { room: Room; count: number }[] } | null =
+    null;
+  for (const [zone, candidates] of [...zonesOf(ask, fits)].sort(([a], [b]) => (a < b ? -1 : 1))) {
+    const chosen = fill(ask, candidates, want, zoneCap);
+    const count = chosen.reduce((sum, entry) => sum + entry.count, 0);
+    if (count === 0 || (gang && count < ask.spec.tasks)) continue;
+    const score = fullness(zone === '' ? candidates : rooms.filter((room) => room.zone === zone));
+    if (!best || count > best.count || (count === best.count && score > best.score + EPS)) {
+      best = { score, count, zone, chosen };
+    }
+  }
+  if (!best) return [];
+  const puts: Put[] = [];
+  let next = 0;
+  for (const { room, count } of best.chosen) {
+    take(room, ask.spec, count);
+    for (let k = 0; k < count; k += 1) {
+      const index = ask.waiting[next];
+      next += 1;
+      if (index !== undefined) puts.push({ job: ask.job, index, machine: room.id });
+    }
+  }
+  return puts;
+};
+
+export interface Packed {
+  readonly puts: readonly Put[];
+  /** What found no room, with the number of tasks that the limit allows and that still wait. */
+  readonly left: readonly { readonly ask: Ask; readonly count: number }[];
+}
+
+/** Most important first; then work within its team's guarantee; then the oldest. */
+export const order = (asks: readonly Ask[]): readonly Ask[] =>
+  [...asks].sort(
+    (a, b) =>
+      b.spec.priority - a.spec.priority ||
+      Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
+      a.at - b.at ||
+      (a.job < b.job ? -1 : 1),
+  );
+
+export const packAll = (
+  asks: readonly Ask[],
+  rooms: readonly Room[],
+  limits: ReadonlyMap<string, Limit>,
+  uses: Map<string, Use>,
+): Packed => {
+  const puts: Put[] = [];
+  const left: { ask: Ask; count: number }[] = [];
+  /** Classes that found no room: rooms only shrink within a round, so the next like job won't either. */
+  const hopeless = new Set<string>();
+  /** What each team would use if all that waits had its room: a plan must not pass the limit either. */
+  const planned = new Map([...uses].map(([team, use]) => [team, { ...use }]));
+  for (const ask of asks) {
+    const limit = limits.get(ask.spec.team);
+    if (!limit) continue;
+    const use = uses.get(ask.spec.team) ?? { cpus: 0, gpus: 0 };
+    const plan = planned.get(ask.spec.team) ?? { cpus: 0, gpus: 0 };
+    uses.set(ask.spec.team, use);
+    planned.set(ask.spec.team, plan);
+    const gang = ask.spec.kind === 'gang';
+    const allowed = quotaRoom(ask.spec, limit, use, ask.waiting.length);
+    if (allowed === 0 || (gang && allowed < ask.spec.tasks)) continue;
+    const klass = classOf(ask.spec);
+    const plain = ask.failedOn.size === 0 && ask.inZones.size === 0;
+    const placed = plain && hopeless.has(klass) ? [] : packOne(ask, rooms, allowed);
+    if (placed.length < allowed && plain) hopeless.add(klass);
+    puts.push(...placed);
+    use.cpus += ask.spec.cpus * placed.length;
+    use.gpus += ask.spec.gpus * placed.length;
+    const wish = quotaRoom(ask.spec, limit, plan, allowed);
+    const count = gang && wish < ask.spec.tasks ? 0 : Math.max(0, wish - placed.length);
+    if (count > 0) left.push({ ask, count });
+    plan.cpus += ask.spec.cpus * (placed.length + count);
+    plan.gpus += ask.spec.gpus * (placed.length + count);
+  }
+  return { puts, left };
+};
--- /dev/null
+++ b/src/placement/share.ts
@@ -0,0 +1,1044 @@
+import * as Effect from 'effect/Effect';
+import {
+  BOOT_FACTOR,
+  BOOT_SLACK_S,
+  CLOCK_DRIFT,
+  FLUSH_MS,
+  IDLE_RETURN_S,
+  JOB_BACKOFF_MAX_MS,
+  JOB_BACKOFF_MS,
+  JOB_ERRORS,
+  LEASE_MARGIN_MS,
+  PLACE_TICK_MS,
+  REBUILD_MS,
+  SETTLE_EXTRA_S,
+  STORE_RETRY_MS,
+  SUSPECT_MS,
+  TXN_BYTES,
+} from '../constants.js';
+import {
+  readMachineRecord,
+  writeMachineRecord,
+  type MachineRecord,
+  type Need,
+  type Spare,
+  type Summary,
+} from '../fleet/records.js';
+import { readJobRecord, writeFinalRecord } from '../jobs/codec.js';
+import { placeAllowed, type Catalog, type Demand, type FinalState, type JobRecord } from '../jobs/model.js';
+import { log } from '../log.js';
+import type { Condition, Item, Store, TxnResult, Write } from '../store/client.js';
+import { claimKey, finalKey, jobKey, machineKey, parseRunKey, runKey, runsPrefix } from '../store/keys.js';
+import type { Mirror } from '../store/mirror.js';
+import type { Command, Report } from '../workers/model.js';
+import { answer, readChanges } from '../workers/react.js';
+import { classOf, order, packAll, type Ask, type Limit, type Room, type Use } from './pack.js';
+import {
+  chunkOf,
+  durableKeys,
+  readRunRecord,
+  runRecord,
+  sameRecord,
+  writeRunRecord,
+  type RunRecord,
+} from './records.js';
+import {
+  bindingKey,
+  isFinished,
+  type Binding,
+  type Chunk,
+  type ShareJob,
+  type ShareMachine,
+  type Stop,
+} from './state.js';
+import { nextPhase, onMachine, type Gone, type PhaseEvent } from './task.js';
+
+export interface ShareInput {
+  readonly store: Store;
+  readonly mirror: Mirror;
+  readonly catalog: () => Catalog | null;
+  readonly shareOfTeam: ReadonlyMap<string, number>;
+  readonly limits: ReadonlyMap<string, Limit>;
+  readonly guarantees: ReadonlyMap<string, Use>;
+  readonly workers: { readonly lease_s: number; readonly gang_peer_s: number };
+  /** May this node act for the share now, under this very claim? */
+  readonly entitled: () => boolean;
+  readonly now: () => number;
+  /** ms since the epoch; only for ages of jobs and machines, never for leases. */
+  readonly wall: () => number;
+  /** Something changed that the leader or a worker waits for. */
+  readonly changed: () => void;
+}
+
+interface ChunkWrite {
+  readonly job: ShareJob;
+  readonly chunk: number;
+  readonly record: RunRecord;
+}
+
+const size = (value: unknown): number => JSON.stringify(value).length;
+
+/** One share of teams and machines, for as long as this process holds its claim. */
+export class Share {
+  readonly jobs = new Map<string, ShareJob>();
+  readonly machines = new Map<string, ShareMachine>();
+  /** Why nothing is placed yet: reading the state, or waiting for the machines to report. */
+  stage: 'loading' | 'rebuilding' | 'placing' | 'lost' = 'loading';
+  private readonly orphans: string[] = [];
+  private loadedAt = 0;
+  private flushedAt = 0;
+  private wake: (() => void) | null = null;
+  private poked = false;
+  summary: Summary | null = null;
+  private scarce = new Set<string>();
+
+  constructor(
+    readonly slot: number,
+    readonly claim: number,
+    private readonly input: ShareInput,
+  ) {
+    for (const item of input.mirror.under('w/m/')) this.onMachineRecord(item);
+  }
+
+  // ---- what the shared keys say -------------------------------------------------------------------------
+
+  onMachineRecord(item: Item): void {
+    const id = item.key.slice('w/m/'.length);
+    const record = readMachineRecord(item.value);
+    const known = this.machines.get(id);
+    if (record.share !== this.slot) {
+      if (known) this.dropMachine(known, { _tag: 'released' });
+      return;
+    }
+    if (known) {
+      if (known.version !== item.version) {
+        known.version = item.version;
+        known.confirmedToken = 0;
+      }
+      known.releasing = record.releasing;
+      return;
+    }
+    const type = this.input.catalog()?.get(record.type);
+    this.machines.set(id, {
+      id,
+      type: record.type,
+      zone: record.zone,
+      spot: record.spot,
+      version: item.version,
+      since: record.at,
+      releasing: record.releasing,
+      cordoned: false,
+      addr: '',
+      session: 0,
+      seq: 0,
+      confirmedToken: 0,
+      answeredAt: null,
+      noticeAt: null,
+      noticeS: null,
+      reported: [],
+      bound: new Map(),
+      images: new Set(),
+      health: { _tag: 'fine' },
+      idleSince: null,
+      total: type ?? { cpus: 0, gpus: 0, memoryGb: 0 },
+    });
+    this.poke();
+  }
+
+  onMachineGone(id: string): void {
+    const machine = this.machines.get(id);
+    // The record goes only after the cloud answered 200 to the machine's release.
+    if (machine) this.dropMachine(machine, { _tag: 'released' });
+  }
+
+  private dropMachine(machine: ShareMachine, how: Gone): void {
+    for (const binding of [...machine.bound.values()]) this.applyPhase(binding, { _tag: 'lost', how });
+    this.machines.delete(machine.id);
+    this.poke();
+  }
+
+  onJobRecord(item: Item): void {
+    const record = readJobRecord(item.value);
+    if (this.input.shareOfTeam.get(record.spec.team) !== this.slot || this.stage === 'loading') return;
+    this.adoptJob(record, item.version);
+    this.poke();
+  }
+
+  private adoptJob(record: JobRecord, version: number): ShareJob {
+    let job = this.jobs.get(record.spec.id);
+    if (!job) {
+      job = {
+        spec: record.spec,
+        at: record.at,
+        version,
+        cancelled: false,
+        done: new Set(),
+        bindings: new Map(),
+        attempt: 0,
+        chunks: new Map(),
+        failedOn: new Set(),
+        errors: 0,
+        backoffUntil: 0,
+        proven: false,
+        finishing: false,
+      };
+      this.jobs.set(record.spec.id, job);
+    }
+    job.version = version;
+    if (record.cancelled && !job.cancelled) {
+      job.cancelled = true;
+      for (const binding of job.bindings.values()) this.stop(binding, 'cancelled', 0);
+    }
+    return job;
+  }
+
+  onJobGone(id: string): void {
+    const job = this.jobs.get(id);
+    if (job && !job.finishing) log.error({ event: 'job.record_vanished', job: id });
+  }
+
+  // ---- takeover ------------------------------------------------------------------------------------------
+
+  /** Reads the share's runs. The mirror already shows every change before the claim's own revision. */
+  private readonly load: Effect.Effect<void> = Effect.gen({ self: this }, function* () {
+    for (;;) {
+      const all = yield* this.input.store.list(runsPrefix(this.slot), 'user');
+      if (all._tag === 'failed') {
+        yield* Effect.sleep(STORE_RETRY_MS);
+        continue;
+      }
+      this.stage = 'rebuilding';
+      this.loadedAt = this.input.now();
+      for (const item of this.input.mirror.under('w/j/')) {
+        const record = readJobRecord(item.value);
+        if (this.input.shareOfTeam.get(record.spec.team) === this.slot) this.adoptJob(record, item.version);
+      }
+      for (const item of all.items) this.loadRun(item);
+      for (const machine of this.machines.values()) {
+        for (const task of machine.reported) {
+          const binding = machine.bound.get(bindingKey(task.job, task.index, task.attempt));
+          if (binding) this.applyPhase(binding, { _tag: 'reported', state: task.state });
+        }
+      }
+      log.info({
+        event: 'share.loaded',
+        share: this.slot,
+        claim: this.claim,
+        jobs: this.jobs.size,
+        machines: this.machines.size,
+      });
+      return;
+    }
+  });
+
+  private loadRun(item: Item): void {
+    const name = parseRunKey(item.key);
+    const job = name ? this.jobs.get(name.job) : undefined;
+    if (!name || !job) {
+      this.orphans.push(item.key);
+      return;
+    }
+    const record = readRunRecord(item.value, name.chunk);
+    job.attempt = Math.max(job.attempt, record.attempt);
+    for (const index of record.done) job.done.add(index);
+    const chunk: Chunk = { version: item.version, durable: durableKeys(job.spec.id, record), dirty: false };
+    job.chunks.set(name.chunk, chunk);
+    for (const bound of record.bindings) {
+      const machine = this.machines.get(bound.machine);
+      // No record of the machine: it was released, and that was answered 200.
+      if (!machine) {
+        chunk.dirty = true;
+        continue;
+      }
+      const binding: Binding = {
+        job: job.spec.id,
+        index: bound.index,
+        attempt: bound.attempt,
+        machine: machine.id,
+        phase: { _tag: 'bound' },
+        stop: null,
+        boundAt: this.input.now(),
+        runningAt: null,
+      };
+      job.bindings.set(bound.index, binding);
+      machine.bound.set(bindingKey(job.spec.id, bound.index, bound.attempt), binding);
+      if (job.cancelled) this.stop(binding, 'cancelled', 0);
+    }
+    if (job.spec.kind === 'gang' && job.bindings.size > 0 && job.bindings.size < job.spec.tasks)
+      this.breakGang(job);
+  }
+
+  // ---- tasks -----------------------------------------------------------------------------------------------
+
+  private stop(binding: Binding, reason: Stop['reason'], graceS: number): void {
+    if (binding.stop && binding.stop.graceS <= graceS) return;
+    binding.stop = { reason, graceS, since: this.input.now() };
+    this.poke();
+  }
+
+  private graceOf(job: ShareJob): number {
+    return job.spec.checkpointS > 0 ? job.spec.saveS + SETTLE_EXTRA_S : 0;
+  }
+
+  /** A gang that lost a member is stopped whole and waits again, free to go anywhere. */
+  private breakGang(job: ShareJob): void {
+    for (const binding of job.bindings.values()) this.stop(binding, 'broken', 0);
+  }
+
+  private applyPhase(binding: Binding, event: PhaseEvent): void {
+    const before = binding.phase;
+    binding.phase = nextPhase(before, event);
+    const job = this.jobs.get(binding.job);
+    if (binding.phase._tag === 'running' && binding.runningAt === null) {
+      binding.runningAt = this.input.now();
+      const machine = this.machines.get(binding.machine);
+      if (machine && job) machine.images.add(job.spec.image);
+    }
+    if (binding.phase._tag !== before._tag) {
+      log.debug({
+        event: 'task.change',
+        task: `${binding.job}/${binding.index}`,
+        attempt: binding.attempt,
+        machine: binding.machine,
+        from: before._tag,
+        to: binding.phase._tag,
+        how: binding.phase._tag === 'gone' ? binding.phase.how : undefined,
+      });
+    }
+    if (binding.phase._tag === 'gone' && before._tag !== 'gone') this.onGone(binding, binding.phase.how, job);
+  }
+
+  private onGone(binding: Binding, how: Gone, job: ShareJob | undefined): void {
+    const machine = this.machines.get(binding.machine);
+    machine?.bound.delete(bindingKey(binding.job, binding.index, binding.attempt));
+    this.poke();
+    if (!job || job.bindings.get(binding.index) !== binding) return;
+    job.bindings.delete(binding.index);
+    const chunk = job.chunks.get(chunkOf(binding.index));
+    if (chunk) chunk.dirty = true;
+    if (how._tag === 'exited' && how.cause === 'done' && job.spec.kind !== 'service') {
+      job.proven = true;
+      // A gang completes together: one task done means all are.
+      if (job.spec.kind === 'gang') {
+        for (let index = 0; index < job.spec.tasks; index += 1) job.done.add(index);
+        for (const other of job.bindings.values()) this.stop(other, 'finished', 0);
+      } else job.done.add(binding.index);
+      return;
+    }
+    if (how._tag === 'exited' && (how.cause === 'error' || how.cause === 'unknown'))
+      this.onError(binding, job, machine);
+    if (how._tag === 'exited' && how.cause === 'noRoom')
+      job.backoffUntil = Math.max(job.backoffUntil, this.input.now() + 1_000);
+    if (job.spec.kind === 'gang' && !isFinished(job)) this.breakGang(job);
+  }
+
+  /** A failure counts against the machine until the same job fails elsewhere too, and then against the job. */
+  private onError(binding: Binding, job: ShareJob, machine: ShareMachine | undefined): void {
+    const now = this.input.now();
+    job.errors += 1;
+    job.failedOn.add(binding.machine);
+    log.info({
+      event: 'task.failed',
+      task: `${binding.job}/${binding.index}`,
+      machine: binding.machine,
+      errors: job.errors,
+    });
+    const jobAtFault = !job.proven && job.failedOn.size >= JOB_ERRORS;
+    if (!job.proven) {
+      const pause = jobAtFault
+        ? Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** Math.min(10, job.failedOn.size - JOB_ERRORS))
+        : 0;
+      job.backoffUntil = Math.max(job.backoffUntil, now + pause);
+    }
+    if (jobAtFault) {
+      for (const id of job.failedOn) {
+        const other = this.machines.get(id);
+        if (other?.health._tag === 'suspect' && other.health.job === job.spec.id)
+          other.health = { _tag: 'fine' };
+      }
+      job.failedOn.clear();
+      return;
+    }
+    if (!machine) return;
+    if (machine.health._tag === 'suspect' && machine.health.job !== job.spec.id)
+      machine.health = { _tag: 'sick' };
+    else if (machine.health._tag === 'fine') {
+      machine.health = job.proven
+        ? { _tag: 'sick' }
+        : { _tag: 'suspect', job: job.spec.id, until: now + SUSPECT_MS };
+    }
+    if (machine.health._tag === 'sick') log.info({ event: 'machine.sick', machine: machine.id });
+  }
+
+  // ---- workers ---------------------------------------------------------------------------------------------
+
+  token(machine: ShareMachine): number {
+    return Math.max(this.claim, machine.version);
+  }
+
+  /** null: an older message than one already seen, or one that knows a higher token than ours. */
+  onReport(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null {
+    const machine = this.machines.get(report.machine);
+    if (!machine) return null;
+    const token = this.token(machine);
+    if (report.token > token) return null;
+    if (report.session < machine.session || (report.session === machine.session && report.seq <= machine.seq))
+      return null;
+    const now = this.input.now();
+    const underToken = report.token === token;
+    const changes = this.stage === 'loading' ? [] : readChanges(machine, report, underToken);
+    machine.session = report.session;
+    machine.seq = report.seq;
+    machine.addr = report.addr;
+    machine.confirmedToken = underToken ? token : 0;
+    machine.answeredAt = now;
+    machine.reported = report.tasks;
+    if (report.noticeS !== null && machine.noticeAt === null) {
+      machine.noticeAt = now;
+      log.info({ event: 'machine.notice', machine: machine.id, noticeS: report.noticeS });
+    }
+    machine.noticeS = report.noticeS;
+    for (const change of changes) this.applyPhase(change.binding, change.event);
+    if (this.stage === 'loading') return { token, commands: [] };
+    if (machine.noticeAt !== null) this.drain(machine);
+    const commands = answer(
+      machine,
+      report,
+      underToken,
+      (key, job, index) => !(this.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false),
+      now,
+    );
+    return { token, commands };
+  }
+
+  /** Work that can be saved leaves a machine that is about to go; the rest may still finish in time. */
+  private drain(machine: ShareMachine): void {
+    for (const binding of machine.bound.values()) {
+      const job = this.jobs.get(binding.job);
+      if (!job || binding.stop || this.graceOf(job) === 0) continue;
+      if (job.spec.kind === 'gang')
+        for (const member of job.bindings.values()) this.stop(member, 'draining', this.graceOf(job));
+      else this.stop(binding, 'draining', this.graceOf(job));
+    }
+  }
+
+  // ---- rounds ----------------------------------------------------------------------------------------------
+
+  poke(): void {
+    this.poked = true;
+    this.wake?.();
+  }
+
+  private pause(): Effect.Effect<void> {
+    return Effect.promise(
+      () =>
+        new Promise<void>((resolve) => {
+          if (this.poked) return resolve();
+          const timer = setTimeout(resolve, PLACE_TICK_MS);
+          this.wake = () => {
+            clearTimeout(timer);
+            this.wake = null;
+            // A moment for events that come together.
+            setTimeout(resolve, 5);
+          };
+        }),
+    );
+  }
+
+  readonly run: Effect.Effect<void> = Effect.gen({ self: this }, function* () {
+    if (this.stage === 'loading') yield* this.load;
+    for (;;) {
+      yield* this.pause();
+      this.poked = false;
+      if (this.stage === 'lost') return;
+      if (!this.input.entitled()) continue;
+      this.watchMachines();
+      yield* this.releaseMachines();
+      yield* this.finishJobs();
+      if (this.stage === 'rebuilding' && this.rebuilt()) {
+        this.stage = 'placing';
+        log.info({ event: 'share.placing', share: this.slot });
+      }
+      if (this.stage === 'placing') yield* this.place();
+      yield* this.flush();
+    }
+  });
+
+  private rebuilt(): boolean {
+    if (this.input.catalog() === null) return false;
+    if (this.input.now() - this.loadedAt > REBUILD_MS) return true;
+    return [...this.machines.values()].every(
+      (machine) => machine.confirmedToken !== 0 || machine.releasing || this.booting(machine),
+    );
+  }
+
+  private bootAllowanceMs(machine: ShareMachine): number {
+    const bootS = this.input.catalog()?.get(machine.type)?.bootS ?? 60;
+    return (bootS * BOOT_FACTOR + BOOT_SLACK_S) * 1000;
+  }
+  private booting(machine: ShareMachine): boolean {
+    return (
+      machine.answeredAt === null &&
+      machine.bound.size === 0 &&
+      this.input.wall() - machine.since < this.bootAllowanceMs(machine)
+    );
+  }
+
+  /** The full lease, with drift, that this holder must see pass after its last answer. */
+  private get leaseMs(): number {
+    return this.input.workers.lease_s * 1000 * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
+  }
+
+  private silent(machine: ShareMachine): boolean {
+    return this.input.now() - (machine.answeredAt ?? this.loadedAt) > this.leaseMs;
+  }
+
+  private watchMachines(): void {
+    const now = this.input.now();
+    for (const machine of this.machines.values()) {
+      const type = this.input.catalog()?.get(machine.type);
+      if (type && machine.total.cpus === 0) (machine as { total: Demand }).total = type;
+      if (machine.health._tag === 'suspect' && now > machine.health.until) machine.health = { _tag: 'fine' };
+      if (machine.bound.size > 0 && this.silent(machine) && machine.confirmedToken !== 0) {
+        log.info({ event: 'machine.lease_over', machine: machine.id, tasks: machine.bound.size });
+        for (const binding of [...machine.bound.values()]) {
+          this.applyPhase(binding, { _tag: 'lost', how: { _tag: 'leaseOver' } });
+        }
+      }
+      if (this.idle(machine)) machine.idleSince ??= now;
+      else machine.idleSince = null;
+    }
+  }
+
+  private idle(machine: ShareMachine): boolean {
+    return (
+      machine.confirmedToken !== 0 &&
+      machine.bound.size === 0 &&
+      machine.reported.every((task) => task.state._tag === 'exited')
+    );
+  }
+
+  private wantsRelease(machine: ShareMachine): boolean {
+    if (machine.releasing) return false;
+    if (machine.answeredAt === null) {
+      return this.silent(machine) && !this.booting(machine);
+    }
+    if (this.silent(machine)) return true;
+    if (machine.health._tag === 'sick' && machine.bound.size === 0) return true;
+    return (
+      this.stage === 'placing' &&
+      machine.idleSince !== null &&
+      this.input.now() - machine.idleSince > IDLE_RETURN_S * 1000
+    );
+  }
+
+  private readonly releaseMachines = (): Effect.Effect<void> =>
+    Effect.gen({ self: this }, function* () {
+      for (const machine of [...this.machines.values()]) {
+        if (!this.wantsRelease(machine)) continue;
+        log.info({ event: 'machine.release_wanted', machine: machine.id, silent: this.silent(machine) });
+        yield* this.rewriteMachine(machine, { share: this.slot, releasing: true });
+      }
+    });
+
+  /** Moves a free machine to another share. Its new assignment raises the token beyond all that we sent. */
+  give(id: string, to: number): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const machine = this.machines.get(id);
+      if (!machine || this.stage !== 'placing' || !this.movable(machine)) return false;
+      log.info({ event: 'machine.move', machine: id, from: this.slot, to });
+      return yield* this.rewriteMachine(machine, { share: to, releasing: false });
+    });
+  }
+
+  private movable(machine: ShareMachine): boolean {
+    return (
+      this.idle(machine) &&
+      machine.reported.length === 0 &&
+      !machine.releasing &&
+      machine.noticeAt === null &&
+      machine.health._tag === 'fine'
+    );
+  }
+
+  private rewriteMachine(
+    machine: ShareMachine,
+    to: { share: number; releasing: boolean },
+  ): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const record: MachineRecord = {
+        share: to.share,
+        type: machine.type,
+        zone: machine.zone,
+        spot: machine.spot,
+        at: machine.since,
+        releasing: to.releasing,
+      };
+      // From here nothing is placed on it, also while the outcome is unknown.
+      machine.releasing = true;
+      const key = machineKey(machine.id);
+      const result = yield* this.surely(
+        [{ key, version: machine.version }],
+        [{ _tag: 'put', key, value: writeMachineRecord(record) }],
+        key,
+      );
+      if (result._tag === 'committed') return true;
+      if (result._tag === 'refused') machine.releasing = false;
+      return false;
+    });
+  }
+
+  // ---- durable changes ---------------------------------------------------------------------------------------
+
+  private guard(): Condition {
+    return { key: claimKey(String(this.slot)), version: this.claim };
+  }
+
+  /**
+   * Carries a transaction to a known end. Without an answer it may still be applied later, so the same one
+   * is sent again until it is committed or can no longer be: every write is conditional on the version of a
+   * key that it changes (`witness`), which tells a late first copy from somebody else's change.
+   */
+  private surely(
+    when: readonly Condition[],
+    writes: readonly Write[],
+    witness: string,
+  ): Effect.Effect<TxnResult> {
+    return Effect.gen({ self: this }, function* () {
+      let unsure = false;
+      for (;;) {
+        const result = yield* this.input.store.txn([this.guard(), ...when], writes, 'work');
+        switch (result._tag) {
+          case 'committed':
+            return result;
+          case 'noLease':
+            return result;
+          case 'refused':
+            if (!unsure) return result;
+            break;
+          case 'unknown':
+            unsure = true;
+            break;
+          case 'conflict': {
+            if (result.failed.includes(claimKey(String(this.slot)))) {
+              this.lose();
+              return result;
+            }
+            if (!unsure) return result;
+            const now = yield* this.input.store.get(witness, 'work');
+            const before = when.find((condition) => condition.key === witness)?.version ?? 0;
+            if (now._tag === 'found' && now.item.version !== before) {
+              return { _tag: 'committed', revision: now.item.version };
+            }
+            if (now._tag === 'absent' && before !== 0) return { _tag: 'committed', revision: 0 };
+            if (now._tag !== 'failed') return result;
+            break;
+          }
+        }
+        if (this.stage === 'lost') return { _tag: 'refused', why: 'lost' };
+        yield* Effect.sleep(STORE_RETRY_MS);
+      }
+    });
+  }
+
+  lose(): void {
+    if (this.stage === 'lost') return;
+    this.stage = 'lost';
+    log.info({ event: 'share.lost', share: this.slot, claim: this.claim });
+    this.poke();
+  }
+
+  private chunkWrite(job: ShareJob, chunk: number): ChunkWrite {
+    return { job, chunk, record: runRecord(job, chunk) };
+  }
+
+  private commitChunks(writes: readonly ChunkWrite[]): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const first = writes[0];
+      if (!first) return true;
+      const key = (write: ChunkWrite): string => runKey(this.slot, write.job.spec.id, write.chunk);
+      const jobs = new Set(writes.map((write) => write.job));
+      const when: Condition[] = [
+        ...[...jobs].map((job) => ({ key: jobKey(job.spec.id), version: job.version })),
+        ...writes.map((write) => ({
+          key: key(write),
+          version: write.job.chunks.get(write.chunk)?.version ?? 0,
+        })),
+      ];
+      for (const write of writes) {
+        const chunk = write.job.chunks.get(write.chunk);
+        if (chunk) chunk.dirty = false;
+      }
+      const result = yield* this.surely(
+        when,
+        writes.map((write) => ({
+          _tag: 'put',
+          key: key(write),
+          value: writeRunRecord(write.record, write.chunk),
+        })),
+        key(first),
+      );
+      const committed = result._tag === 'committed';
+      for (const write of writes) {
+        const known = write.job.chunks.get(write.chunk);
+        if (committed) {
+          write.job.chunks.set(write.chunk, {
+            version: result.revision,
+            durable: durableKeys(write.job.spec.id, write.record),
+            dirty: !sameRecord(write.record, runRecord(write.job, write.chunk)),
+          });
+        } else if (known) known.dirty = true;
+      }
+      if (result._tag === 'conflict') log.debug({ event: 'bind.conflict', failed: result.failed });
+      return committed;
+    });
+  }
+
+  private flush(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const now = this.input.now();
+      if (now - this.flushedAt < FLUSH_MS || this.stage === 'lost') return;
+      this.flushedAt = now;
+      let batch: ChunkWrite[] = [];
+      let bytes = 0;
+      for (const job of this.jobs.values()) {
+        if (job.finishing) continue;
+        for (const [number, chunk] of job.chunks) {
+          if (!chunk.dirty) continue;
+          const write = this.chunkWrite(job, number);
+          batch.push(write);
+          bytes += size(write.record);
+          if (batch.length >= this.input.store.txnOps || bytes > TXN_BYTES / 2) {
+            yield* this.commitChunks(batch);
+            batch = [];
+            bytes = 0;
+          }
+        }
+      }
+      if (batch.length > 0) yield* this.commitChunks(batch);
+      const rest = this.orphans.splice(0, this.input.store.txnOps);
+      if (rest.length > 0) {
+        yield* this.input.store.txn(
+          [this.guard()],
+          rest.map((key) => ({ _tag: 'delete', key })),
+          'work',
+        );
+      }
+    });
+  }
+
+  private finishJobs(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      for (const job of [...this.jobs.values()]) {
+        if (job.finishing) continue;
+        if (job.bindings.size > 0) continue;
+        if (job.cancelled) yield* this.finish(job, 'cancelled');
+        else if (isFinished(job)) yield* this.finish(job, 'done');
+      }
+    });
+  }
+
+  private finish(job: ShareJob, state: FinalState): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      job.finishing = true;
+      const chunks = [...job.chunks.keys()].map((chunk) => runKey(this.slot, job.spec.id, chunk));
+      const now = chunks.splice(0, Math.max(0, this.input.store.txnOps - 2));
+      const result = yield* this.surely(
+        [{ key: jobKey(job.spec.id), version: job.version }],
+        [
+          {
+            _tag: 'put',
+            key: finalKey(job.spec.id),
+            value: writeFinalRecord({ state, at: this.input.wall(), tasks: job.spec.tasks }),
+          },
+          { _tag: 'delete', key: jobKey(job.spec.id) },
+          ...now.map((key) => ({ _tag: 'delete', key }) as const),
+        ],
+        jobKey(job.spec.id),
+      );
+      job.finishing = false;
+      if (result._tag !== 'committed') return;
+      job.finishing = true;
+      log.info({ event: 'job.final', job: job.spec.id, state, ageMs: this.input.wall() - job.at });
+      this.orphans.push(...chunks);
+      this.jobs.delete(job.spec.id);
+    });
+  }
+
+  // ---- placement -----------------------------------------------------------------------------------------------
+
+  private uses(): Map<string, Use> {
+    const uses = new Map<string, Use>();
+    for (const machine of this.machines.values()) {
+      for (const binding of machine.bound.values()) {
+        const job = this.jobs.get(binding.job);
+        if (!job) continue;
+        const use = uses.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+        use.cpus += job.spec.cpus;
+        use.gpus += job.spec.gpus;
+        uses.set(job.spec.team, use);
+      }
+    }
+    return uses;
+  }
+
+  private rooms(): Room[] {
+    const rooms: Room[] = [];
+    for (const machine of this.machines.values()) {
+      if (
+        machine.releasing ||
+        machine.cordoned ||
+        machine.noticeAt !== null ||
+        machine.health._tag !== 'fine'
+      )
+        continue;
+      const live =
+        machine.confirmedToken !== 0 && this.input.now() - (machine.answeredAt ?? 0) < this.leaseMs / 2;
+      if (!live && !this.booting(machine)) continue;
+      const free = { cpus: machine.total.cpus, gpus: machine.total.gpus, memoryGb: machine.total.memoryGb };
+      const subtract = (jobId: string): boolean => {
+        const spec = this.jobs.get(jobId)?.spec;
+        if (!spec) return false;
+        free.cpus -= spec.cpus;
+        free.gpus -= spec.gpus;
+        free.memoryGb -= spec.memoryGb;
+        return true;
+      };
+      let clear = true;
+      for (const binding of machine.bound.values()) if (!subtract(binding.job)) clear = false;
+      for (const task of machine.reported) {
+        if (task.state._tag === 'exited' || machine.bound.has(bindingKey(task.job, task.index, task.attempt)))
+          continue;
+        // On the machine, but not ours any more: it is being stopped, and its room is not free yet.
+        if (!subtract(task.job)) clear = false;
+      }
+      if (!clear) continue;
+      rooms.push({
+        id: machine.id,
+        type: machine.type,
+        zone: machine.zone,
+        spot: machine.spot,
+        total: machine.total,
+        free,
+        images: machine.images,
+        live,
+        kept: this.keptForOthers(machine),
+      });
+    }
+    return rooms;
+  }
+
+  /** Ordinary machines of a type that some job can't do without are no place for work that can use spot. */
+  private keptForOthers(machine: ShareMachine): boolean {
+    return !machine.spot && this.scarce.has(machine.type) && (this.input.catalog()?.size ?? 0) > 1;
+  }
+
+  private noteScarce(job: ShareJob): void {
+    const catalog = this.input.catalog();
+    if (!catalog || job.spec.spot) return;
+    const fits = [...catalog.values()].filter(
+      (type) =>
+        (job.spec.types === null || job.spec.types.includes(type.name)) &&
+        job.spec.cpus <= type.cpus &&
+        job.spec.gpus <= type.gpus &&
+        job.spec.memoryGb <= type.memoryGb,
+    );
+    if (fits.length === 1 && fits[0]) this.scarce.add(fits[0].name);
+  }
+
+  private asks(): Ask[] {
+    const now = this.input.now();
+    const asks: Ask[] = [];
+    const ahead = new Map<string, Use>();
+    for (const job of [...this.jobs.values()].sort((a, b) => a.at - b.at)) {
+      this.noteScarce(job);
+      const use = ahead.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+      const left = job.spec.tasks - job.done.size;
+      use.cpus += job.spec.cpus * left;
+      use.gpus += job.spec.gpus * left;
+      ahead.set(job.spec.team, use);
+      if (job.cancelled || job.finishing || isFinished(job) || now < job.backoffUntil) continue;
+      if (job.spec.kind === 'gang' && job.bindings.size > 0) continue;
+      const waiting: number[] = [];
+      // Enough for any limit; a job of 100,000 tasks need not be listed whole.
+      for (let index = 0; index < job.spec.tasks && waiting.length < 4_096; index += 1) {
+        if (!job.done.has(index) && !job.bindings.has(index)) waiting.push(index);
+      }
+      if (waiting.length === 0) continue;
+      const inZones = new Map<string, number>();
+      for (const binding of job.bindings.values()) {
+        const zone = this.machines.get(binding.machine)?.zone;
+        if (zone !== undefined) inZones.set(zone, (inZones.get(zone) ?? 0) + 1);
+      }
+      const guarantee = this.input.guarantees.get(job.spec.team);
+      asks.push({
+        job: job.spec.id,
+        spec: job.spec,
+        waiting,
+        inZones,
+        failedOn: job.failedOn,
+        at: job.at,
+        withinGuarantee:
+          guarantee !== undefined &&
+          use.gpus <= guarantee.gpus &&
+          (guarantee.cpus === 0 || use.cpus <= guarantee.cpus),
+      });
+    }
+    return [...order(asks)];
+  }
+
+  private place(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const asks = this.asks();
+      const rooms = this.rooms();
+      const uses = this.uses();
+      const packed = packAll(
+        asks,
+        rooms.filter((room) => room.live),
+        this.input.limits,
+        uses,
+      );
+      const byJob = new Map<string, Binding[]>();
+      const now = this.input.now();
+      for (const put of packed.puts) {
+        const job = this.jobs.get(put.job);
+        const machine = this.machines.get(put.machine);
+        if (!job || !machine) continue;
+        const list = byJob.get(put.job) ?? [];
+        if (list.length === 0) job.attempt += 1;
+        byJob.set(put.job, list);
+        const binding: Binding = {
+          job: put.job,
+          index: put.index,
+          attempt: job.attempt,
+          machine: put.machine,
+          phase: { _tag: 'binding' },
+          stop: null,
+          boundAt: now,
+          runningAt: null,
+        };
+        list.push(binding);
+        job.bindings.set(put.index, binding);
+        machine.bound.set(bindingKey(put.job, put.index, binding.attempt), binding);
+      }
+      this.plan(packed.left, rooms, uses);
+      let batch: { write: ChunkWrite; bindings: Binding[] }[] = [];
+      let bytes = 0;
+      const send = function* (this: Share) {
+        const sent = batch;
+        batch = [];
+        bytes = 0;
+        if (sent.length === 0) return;
+        const committed: boolean = yield* this.commitChunks(sent.map((entry) => entry.write));
+        for (const { bindings } of sent) {
+          for (const binding of bindings) {
+            if (committed) this.applyPhase(binding, { _tag: 'durable' });
+            else this.unbind(binding);
+          }
+        }
+        if (committed) this.input.changed();
+      }.bind(this);
+      for (const [id, bindings] of byJob) {
+        const job = this.jobs.get(id);
+        if (!job) continue;
+        const chunks = [...new Set(bindings.map((binding) => chunkOf(binding.index)))];
+        const gang = job.spec.kind === 'gang';
+        if (gang || batch.length >= this.input.store.txnOps) yield* send();
+        for (const chunk of chunks) {
+          const write = this.chunkWrite(job, chunk);
+          if (
+            !gang &&
+            (batch.length >= this.input.store.txnOps || bytes + size(write.record) > TXN_BYTES / 2)
+          )
+            yield* send();
+          batch.push({ write, bindings: bindings.filter((binding) => chunkOf(binding.index) === chunk) });
+          bytes += size(write.record);
+        }
+        if (gang) yield* send();
+      }
+      yield* send();
+    });
+  }
+
+  /** Takes back a bind that surely was not carried out. */
+  private unbind(binding: Binding): void {
+    this.machines.get(binding.machine)?.bound.delete(bindingKey(binding.job, binding.index, binding.attempt));
+    const job = this.jobs.get(binding.job);
+    if (job?.bindings.get(binding.index) === binding) job.bindings.delete(binding.index);
+  }
+
+  /** What is still needed once the machines that are coming are counted, for the leader. */
+  private plan(left: readonly { ask: Ask; count: number }[], rooms: Room[], uses: Map<string, Use>): void {
+    const now = this.input.wall();
+    const coming = packAll(
+      left.map(({ ask, count }) => ({ ...ask, waiting: ask.waiting.slice(-count) })),
+      rooms,
+      this.input.limits,
+      uses,
+    );
+    const needs = new Map<string, Need & { sizes: number[] }>();
+    for (const { ask, count } of coming.left) {
+      const { spec } = ask;
+      const klass = `${classOf({ ...spec, tasks: 1 })}|${spec.priority}`;
+      const known = needs.get(klass);
+      if (known) {
+        (known as { tasks: number }).tasks += count;
+        if (spec.kind === 'gang') known.sizes.push(count);
+        continue;
+      }
+      const room: Record<string, number> = {};
+      if (spec.oneZone) {
+        for (const free of rooms) {
+          if (!placeAllowed(spec, free)) continue;
+          const fits = Math.min(
+            spec.cpus > 0 ? Math.floor(free.free.cpus / spec.cpus) : count,
+            spec.gpus > 0 ? Math.floor(free.free.gpus / spec.gpus) : count,
+          );
+          room[free.zone] = (room[free.zone] ?? 0) + Math.max(0, fits);
+        }
+      }
+      needs.set(klass, {
+        cpus: spec.cpus,
+        gpus: spec.gpus,
+        memoryGb: spec.memoryGb,
+        types: spec.types,
+        zone: spec.zone,
+        spot: spec.spot,
+        gang: spec.kind === 'gang',
+        oneZone: spec.oneZone,
+        priority: spec.priority,
+        tasks: count,
+        sizes: spec.kind === 'gang' ? [count] : [],
+        room,
+        waitedMs: now - ask.at,
+      });
+    }
+    const spares: Spare[] = [];
+    for (const machine of this.machines.values()) {
+      if (!this.movable(machine) || machine.bound.size > 0) continue;
+      spares.push({
+        id: machine.id,
+        type: machine.type,
+        zone: machine.zone,
+        spot: machine.spot,
+        idleS: machine.idleSince === null ? 0 : (this.input.now() - machine.idleSince) / 1000,
+      });
+    }
+    this.summary = {
+      share: this.slot,
+      claim: this.claim,
+      revision: this.input.mirror.revision,
+      needs: [...needs.values()],
+      spares,
+    };
+    if (needs.size > 0) this.input.changed();
+  }
+
+  counts(id: string): { done: number; running: number } | null {
+    const job = this.jobs.get(id);
+    if (!job) return null;
+    let running = 0;
+    for (const binding of job.bindings.values()) if (onMachine(binding.phase)) running += 1;
+    return { done: job.done.size, running };
+  }
+}
--- /dev/null
+++ b/src/placement/task.ts
@@ -0,0 +1,62 @@
+import type { ExitCause, TaskState } from '../workers/model.js';
+
+/** One attempt of one task on one machine, from its durable bind until evidence that it is gone. */
+export type Phase =
+  /** Bound, the bind not yet known to be durable: nothing may be sent. */
+  | { readonly _tag: 'binding' }
+  /** Durable; `run` is sent with each answer until the worker reports the task. */
+  | { readonly _tag: 'bound' }
+  | { readonly _tag: 'fetching' }
+  | { readonly _tag: 'waiting' }
+  | { readonly _tag: 'running' }
+  | { readonly _tag: 'saving' }
+  /** Evidence is in: the attempt is no longer on its machine. */
+  | { readonly _tag: 'gone'; readonly how: Gone };
+
+export type Gone =
+  | { readonly _tag: 'exited'; readonly cause: ExitCause; readonly saved: boolean }
+  /** A newer report under the current token, without it. */
+  | { readonly _tag: 'absent' }
+  | { readonly _tag: 'newSession' }
+  | { readonly _tag: 'released' }
+  | { readonly _tag: 'leaseOver' };
+
+export type PhaseEvent =
+  | { readonly _tag: 'durable' }
+  | { readonly _tag: 'reported'; readonly state: TaskState }
+  | { readonly _tag: 'lost'; readonly how: Gone };
+
+export const nextPhase = (phase: Phase, event: PhaseEvent): Phase => {
+  if (phase._tag === 'gone') return phase;
+  switch (event._tag) {
+    case 'durable':
+      return phase._tag === 'binding' ? { _tag: 'bound' } : phase;
+    case 'lost':
+      return { _tag: 'gone', how: event.how };
+    case 'reported':
+      switch (event.state._tag) {
+        case 'fetching':
+        case 'waiting':
+        case 'running':
+        case 'saving':
+          return { _tag: event.state._tag };
+        case 'exited':
+          return { _tag: 'gone', how: event.state };
+      }
+  }
+};
+
+/** Has a worker reported this attempt? */
+export const onMachine = (phase: Phase): boolean => {
+  switch (phase._tag) {
+    case 'fetching':
+    case 'waiting':
+    case 'running':
+    case 'saving':
+      return true;
+    case 'binding':
+    case 'bound':
+    case 'gone':
+      return false;
+  }
+};
--- /dev/null
+++ b/src/service.ts
@@ -0,0 +1,280 @@
+import * as Cause from 'effect/Cause';
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import { LEADER } from './claims/decide.js';
+import { Keeper } from './claims/keeper.js';
+import {
+  BEAT_FRESH_MS,
+  BODY_MAX_BYTES,
+  COUNTS_TIMEOUT_MS,
+  ANSWER_MAX_BYTES,
+  SOCKETS_IN,
+  USER_BUDGET_MS,
+} from './constants.js';
+import { Cloud } from './fleet/cloud.js';
+import { Leader, readCatalog } from './fleet/leader.js';
+import type { Summary } from './fleet/records.js';
+import { parseTarget, serve, type Call, type Reply } from './http.js';
+import { UsersApi } from './jobs/api.js';
+import type { Catalog } from './jobs/model.js';
+import { log } from './log.js';
+import { Mesh } from './mesh/mesh.js';
+import { Share, type ShareInput } from './placement/share.js';
+import type { Settings } from './settings/schema.js';
+import { divideTeams, nodeNames } from './settings/teams.js';
+import { Store } from './store/client.js';
+import { CATALOG_KEY, claimKey } from './store/keys.js';
+import { Mirror } from './store/mirror.js';
+import { Desk } from './workers/desk.js';
+
+/** Composes the slices of one controller. */
+export const start = async (settings: Settings): Promise<void> => {
+  const now = (): number => performance.now();
+  const wall = (): number => Date.now();
+  const me = {
+    node: settings.host_name,
+    incarnation: `${process.pid}-${Date.now()}-${Math.trunc(Math.random() * 1e9)}`,
+  };
+  const { facts } = settings;
+  const nodes = nodeNames(settings);
+  const slots = facts.count;
+  const shareOfTeam = divideTeams(facts.teams, slots);
+  const limits = new Map(
+    facts.teams.map((team) => [team.name, { cpusMax: team.cpus_max, gpusMax: team.gpus_max }]),
+  );
+  const guarantees = new Map(facts.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus }]));
+
+  const store = new Store(parseTarget(settings.services.state), { ...facts.state, nodes: nodes.length }, now);
+  const mirror = new Mirror(store);
+  const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now);
+
+  let catalogVersion = 0;
+  let catalogValue: Catalog | null = null;
+  const catalog = (): Catalog | null => {
+    const item = mirror.get(CATALOG_KEY);
+    if (item && item.version !== catalogVersion) {
+      catalogVersion = item.version;
+      catalogValue = readCatalog(item.value);
+    }
+    return catalogValue;
+  };
+
+  const shares = new Map<number, { share: Share; fiber: Fiber.Fiber<unknown> }>();
+  const stateAge = (): number => (store.okAt === 0 ? Number.MAX_SAFE_INTEGER : now() - store.okAt);
+
+  const mesh: Mesh = new Mesh({
+    me: me.node,
+    siblings: settings.siblings,
+    now,
+    beat: () => ({
+      from: me.node,
+      incarnation: me.incarnation,
+      lease: keeper.lease,
+      stateAgeMs: stateAge(),
+      summaries: ownSummaries(),
+      strays: desk.strayCounts(BEAT_FRESH_MS * 2),
+    }),
+    answer: async (path, body) => {
+      switch (path) {
+        case '/counts': {
+          const { id, share } = body as { id: string; share: number };
+          return shares.get(share)?.share.counts(id) ?? { done: 0, running: 0 };
+        }
+        case '/move': {
+          const { machine, from, to } = body as { machine: string; from: number; to: number };
+          const held = entitledShare(from);
+          return { moved: held ? await Effect.runPromise(held.give(machine, to)) : false };
+        }
+        default:
+          return null;
+      }
+    },
+  });
+
+  /** Most nodes, this one included, can't reach the state service, and no node says that it can. */
+  const outage = (): boolean => {
+    if (stateAge() < BEAT_FRESH_MS) return false;
+    const word = mesh.stateWord();
+    return word.up === 0 && (word.down + 1) * 2 > nodes.length;
+  };
+
+  const keeper: Keeper = new Keeper(store, mirror, {
+    me,
+    nodes,
+    slotCount: slots,
+    siblings: () => mesh.siblings(),
+    outage,
+    now,
+  });
+
+  const entitledShare = (slot: number): Share | null => {
+    const claim = keeper.entitled(String(slot));
+    const held = shares.get(slot)?.share;
+    return claim !== null && held && held.claim === claim && held.stage !== 'lost' ? held : null;
+  };
+  const ownSummaries = (): readonly Summary[] =>
+    [...shares.keys()].flatMap((slot) => entitledShare(slot)?.summary ?? []);
+
+  const leader = new Leader({
+    store,
+    mirror,
+    cloud,
+    shares: slots,
+    listLagS: facts.cloud.list_lag_s,
+    catalog,
+    entitled: () => keeper.entitled(LEADER),
+    summaries: () => [...ownSummaries(), ...mesh.summaries()],
+    move: (from, machine, to) => {
+      const held = entitledShare(from);
+      if (held) return held.give(machine, to);
+      const holder = keeper.claim(String(from))?.node;
+      return holder === undefined
+        ? Effect.void
+        : Effect.promise(() => mesh.ask(holder, '/move', { machine, from, to }));
+    },
+    now,
+    wall,
+  });
+
+  const desk = new Desk({
+    me: me.node,
+    mirror,
+    now,
+    share: entitledShare,
+    adopt: (report) => {
+      if (keeper.entitled(LEADER) === null) return false;
+      leader.adopt(report.machine, report.type, report.zone, report.spot);
+      return true;
+    },
+  });
+
+  const shareInput = (slot: number, claim: number): ShareInput => ({
+    store,
+    mirror,
+    catalog,
+    shareOfTeam,
+    limits,
+    guarantees,
+    workers: facts.workers,
+    entitled: () => keeper.entitled(String(slot)) === claim,
+    now,
+    wall,
+    changed: () => mesh.hurry(),
+  });
+
+  /** A share object lives as long as this process's claim with this very revision. */
+  const followClaim = (slot: number): void => {
+    const claim = keeper.mine(String(slot));
+    const held = shares.get(slot);
+    if (held && held.share.claim === claim) return;
+    if (held) {
+      held.share.lose();
+      shares.delete(slot);
+    }
+    if (claim === null) return;
+    const share = new Share(slot, claim, shareInput(slot, claim));
+    shares.set(slot, { share, fiber: Effect.runFork(supervise(`share.${slot}`, share.run)) });
+    log.info({ event: 'share.taken', share: slot, claim });
+  };
+
+  mirror.onEvent((event) => {
+    const key = event._tag === 'put' ? event.item.key : event.key;
+    const id = key.slice(4);
+    if (key.startsWith('w/c/')) {
+      for (let slot = 0; slot < slots; slot += 1) if (key === claimKey(String(slot))) followClaim(slot);
+      return;
+    }
+    for (const { share } of shares.values()) {
+      if (key.startsWith('w/m/')) {
+        if (event._tag === 'put') share.onMachineRecord(event.item);
+        else share.onMachineGone(id);
+      } else if (key.startsWith('w/j/')) {
+        if (event._tag === 'put') share.onJobRecord(event.item);
+        else share.onJobGone(id);
+      }
+    }
+  });
+
+  const users = new UsersApi({
+    store,
+    catalog,
+    zones: facts.zones,
+    limits,
+    counts: async (id, team) => {
+      const slot = shareOfTeam.get(team) ?? 0;
+      const held = entitledShare(slot);
+      if (held) return held.counts(id);
+      const holder = keeper.claim(String(slot))?.node;
+      if (holder === undefined || holder === me.node) return null;
+      return (await mesh.ask(holder, '/counts', { id, share: slot }, COUNTS_TIMEOUT_MS)) as {
+        done: number;
+        running: number;
+      } | null;
+    },
+    wall,
+  });
+
+  /** Ready means: takes users' requests at least as well as the other nodes. */
+  const ready = (): boolean => {
+    if (!mirror.ready || catalog() === null) return false;
+    return stateAge() < BEAT_FRESH_MS || mesh.stateWord().up === 0;
+  };
+
+  const inTime = (reply: Effect.Effect<Reply>): Promise<Reply> =>
+    Effect.runPromise(
+      Effect.timeoutOrElse(reply, {
+        duration: USER_BUDGET_MS,
+        orElse: () =>
+          Effect.succeed<Reply>({
+            status: 503,
+            body: { error: 'took too long' },
+            headers: { 'retry-after': '1' },
+          }),
+      }),
+    );
+
+  const route = (call: Call): Promise<Reply> => {
+    const parts = call.path.split('/').filter((part) => part !== '');
+    if (call.path === '/ready') return Promise.resolve({ status: ready() ? 200 : 503 });
+    if (call.path === '/hello') {
+      if (call.method !== 'POST') return Promise.resolve({ status: 405, headers: { allow: 'POST' } });
+      return Promise.resolve(call.body._tag === 'value' ? desk.handle(call.body.value) : { status: 400 });
+    }
+    if (parts[0] === 'v2' && parts[1] === 'runs') return inTime(users.handle(call, parts.slice(2)));
+    return Promise.resolve({ status: 404 });
+  };
+
+  const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
+  const connections = Math.floor(facts.quota.fd_limit * SOCKETS_IN);
+  await serve(parseTarget(settings.api_addr), connections, BODY_MAX_BYTES, route, failed);
+  await serve(
+    parseTarget(settings.mesh_addr),
+    nodes.length * 16,
+    ANSWER_MAX_BYTES,
+    (call) => mesh.handle(call),
+    failed,
+  );
+  log.info({ event: 'service.started', node: me.node, zone: settings.area, slots });
+
+  await Effect.runPromise(
+    Effect.all(
+      [
+        supervise('mirror', mirror.run),
+        supervise('claims', keeper.run),
+        supervise('mesh', mesh.run),
+        supervise('leader', leader.run),
+      ],
+      { concurrency: 'unbounded' },
+    ),
+  );
+};
+
+/** A slice that fails by a defect is started again: one broken decision must not end the process. */
+const supervise = <A>(name: string, effect: Effect.Effect<A>): Effect.Effect<A> =>
+  Effect.catchCause(effect, (cause) => {
+    log.error({ event: 'slice.failed', name, cause: Cause.pretty(cause) });
+    return Effect.andThen(
+      Effect.sleep(500),
+      Effect.suspend(() => supervise(name, effect)),
+    );
+  });
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,64 @@
+import * as Schema from 'effect/Schema';
+import * as Result from 'effect/Result';
+
+/** The settings file that the platform hands over. Fields not named here are ignored. */
+const Amount = Schema.Number.check(Schema.isGreaterThanOrEqualTo(0));
+const Positive = Schema.Number.check(Schema.isGreaterThan(0));
+const Count = Schema.Int.check(Schema.isGreaterThanOrEqualTo(1));
+const Name = Schema.String.check(Schema.isMinLength(1));
+const Address = Schema.String.check(Schema.isPattern(/^[^:\s]+:\d{1,5}$/));
+
+const Team = Schema.Struct({
+  name: Name,
+  cpus: Amount,
+  cpus_max: Amount,
+  gpus: Amount,
+  gpus_max: Amount,
+});
+
+const Settings = Schema.Struct({
+  host_name: Name,
+  area: Name,
+  api_addr: Address,
+  mesh_addr: Address,
+  siblings: Schema.Array(Schema.Struct({ host_name: Name, area: Name, endpoint: Address })),
+  services: Schema.Struct({ cloud: Address, state: Address }),
+  facts: Schema.Struct({
+    count: Count,
+    zones: Schema.Array(Name),
+    teams: Schema.Array(Team),
+    objectives: Schema.optional(Schema.Array(Schema.Unknown)),
+    workers: Schema.Struct({
+      report_s: Positive,
+      lease_s: Positive,
+      gang_wait_s: Positive,
+      gang_peer_s: Positive,
+      cancel_s: Positive,
+    }),
+    state: Schema.Struct({ rps: Positive, write_rps: Positive, value_kb: Positive, txn_ops: Count }),
+    cloud: Schema.Struct({ rps: Positive, list_lag_s: Amount }),
+    quota: Schema.Struct({ core_share: Positive, ram_mb: Positive, fd_limit: Count }),
+    clock_error_ms: Amount,
+  }),
+});
+
+export type Settings = typeof Settings.Type;
+export type Team = typeof Team.Type;
+
+const decode = Schema.decodeUnknownResult(Settings);
+
+export type Checked =
+  { readonly _tag: 'ok'; readonly settings: Settings } | { readonly _tag: 'bad'; readonly message: string };
+
+/** One line naming the first field that is missing or invalid. */
+export const checkSettings = (text: string): Checked => {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(text);
+  } catch (error) {
+    return { _tag: 'bad', message: `settings: not JSON: ${(error as Error).message.replace(/\s+/g, ' ')}` };
+  }
+  const result = decode(raw);
+  if (Result.isSuccess(result)) return { _tag: 'ok', settings: result.success };
+  return { _tag: 'bad', message: `settings: ${String(result.failure).replace(/\s+/g, ' ')}` };
+};
--- /dev/null
+++ b/src/settings/teams.ts
@@ -0,0 +1,25 @@
+import type { Settings, Team } from './schema.js';
+
+/**
+ * Teams are divided among the shares, one share per controller slot: heaviest guarantee first, each to the
+ * share with the least so far, ties by name and number. Every node computes the same division.
+ */
+export const divideTeams = (teams: readonly Team[], slots: number): ReadonlyMap<string, number> => {
+  const loads = Array.from({ length: slots }, () => 0);
+  const shares = new Map<string, number>();
+  const weight = (team: Team): number => team.gpus * 8 + team.cpus;
+  const order = [...teams].sort((a, b) => weight(b) - weight(a) || (a.name < b.name ? -1 : 1));
+  for (const team of order) {
+    let best = 0;
+    loads.forEach((load, slot) => {
+      if (load < (loads[best] ?? 0)) best = slot;
+    });
+    shares.set(team.name, best);
+    loads[best] = (loads[best] ?? 0) + Math.max(weight(team), 1);
+  }
+  return shares;
+};
+
+/** Names of all nodes in order; slot k is meant for the k-th. */
+export const nodeNames = (settings: Settings): readonly string[] =>
+  [settings.host_name, ...settings.siblings.map((sibling) => sibling.host_name)].sort();
--- /dev/null
+++ b/src/store/client.ts
@@ -0,0 +1,226 @@
+import * as Effect from 'effect/Effect';
+import {
+  CLAIM_TTL_MS,
+  LIST_PAGE,
+  RENEW_TIMEOUT_MS,
+  STORE_QUEUE_MS,
+  STORE_RESERVE,
+  STORE_TIMEOUT_MS,
+  WATCH_MS,
+} from '../constants.js';
+import { Client, type Answer, type Target } from '../http.js';
+import { Budget, type Rank } from './budget.js';
+
+/** The one module that speaks to the state service. */
+export interface Condition {
+  readonly key: string;
+  /** 0: the key does not exist. */
+  readonly version: number;
+}
+export type Write =
+  | { readonly _tag: 'put'; readonly key: string; readonly value: unknown; readonly lease?: number }
+  | { readonly _tag: 'delete'; readonly key: string };
+
+export type TxnResult =
+  | { readonly _tag: 'committed'; readonly revision: number }
+  | { readonly _tag: 'conflict'; readonly failed: readonly string[] }
+  | { readonly _tag: 'noLease' }
+  /** Not carried out. */
+  | { readonly _tag: 'refused'; readonly why: string }
+  /** May have been carried out, or may be later. */
+  | { readonly _tag: 'unknown'; readonly why: string };
+
+export interface Item {
+  readonly key: string;
+  readonly value: unknown;
+  readonly version: number;
+}
+export type GetResult =
+  | { readonly _tag: 'found'; readonly item: Item }
+  | { readonly _tag: 'absent' }
+  | { readonly _tag: 'failed'; readonly why: string };
+export type ListResult =
+  | {
+      readonly _tag: 'page';
+      readonly items: readonly Item[];
+      readonly more: boolean;
+      readonly revision: number;
+    }
+  | { readonly _tag: 'failed'; readonly why: string };
+export type StoreEvent =
+  | { readonly _tag: 'put'; readonly item: Item }
+  | { readonly _tag: 'delete'; readonly key: string; readonly version: number };
+export type WatchResult =
+  | { readonly _tag: 'events'; readonly events: readonly StoreEvent[]; readonly revision: number }
+  | { readonly _tag: 'tooOld' }
+  | { readonly _tag: 'failed'; readonly why: string };
+export type LeaseResult =
+  | { readonly _tag: 'held'; readonly lease: number; readonly sentAt: number }
+  | { readonly _tag: 'gone' }
+  | { readonly _tag: 'failed'; readonly why: string };
+
+interface RawItem {
+  path: string;
+  data: unknown;
+  brandMark: number;
+}
+const item = (raw: RawItem): Item => ({ key: raw.path, value: raw.data, version: raw.brandMark });
+const why = (answer: Answer): string => (answer._tag === 'silence' ? answer.why : `status ${answer.status}`);
+
+export class Store {
+  private readonly calls: Client;
+  private readonly watches: Client;
+  private readonly leases: Client;
+  readonly requests: Budget;
+  readonly changes: Budget;
+  /** When the service last answered anything but 503 here. */
+  okAt = 0;
+
+  constructor(
+    target: Target,
+    limits: { rps: number; write_rps: number; txn_ops: number; nodes: number },
+    private readonly now: () => number,
+  ) {
+    this.calls = new Client(target, 12);
+    this.watches = new Client(target, 4);
+    this.leases = new Client(target, 2);
+    this.requests = new Budget(limits.rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
+    this.changes = new Budget(limits.write_rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
+    this.txnOps = limits.txn_ops;
+  }
+  readonly txnOps: number;
+
+  private seen(answer: Answer): Answer {
+    if (answer._tag === 'answer' && answer.status < 500 && answer.status !== 429) this.okAt = this.now();
+    return answer;
+  }
+
+  private async call(rank: Rank, client: Client, method: string, path: string, body: unknown, ms: number) {
+    if (!(await this.requests.take(1, rank))) return null;
+    return this.seen(await client.request(method, path, body, ms));
+  }
+
+  get(key: string, rank: Rank): Effect.Effect<GetResult> {
+    return Effect.promise(async (): Promise<GetResult> => {
+      const answer = await this.call(rank, this.calls, 'GET', `/store/${key}`, undefined, STORE_TIMEOUT_MS);
+      if (answer === null) return { _tag: 'failed', why: 'over budget' };
+      if (answer._tag === 'answer' && answer.status === 200)
+        return { _tag: 'found', item: item(answer.body as RawItem) };
+      if (answer._tag === 'answer' && answer.status === 404) return { _tag: 'absent' };
+      return { _tag: 'failed', why: why(answer) };
+    });
+  }
+
+  page(prefix: string, after: string | null, rank: Rank): Effect.Effect<ListResult> {
+    return Effect.promise(async (): Promise<ListResult> => {
+      const path = `/store?under=${encodeURIComponent(prefix)}&most=${LIST_PAGE}${after === null ? '' : `&since=${encodeURIComponent(after)}`}`;
+      const answer = await this.call(rank, this.calls, 'GET', path, undefined, STORE_TIMEOUT_MS * 2);
+      if (answer === null) return { _tag: 'failed', why: 'over budget' };
+      if (answer._tag !== 'answer' || answer.status !== 200) return { _tag: 'failed', why: why(answer) };
+      const body = answer.body as { rows: RawItem[]; more: boolean; epoch: number };
+      return { _tag: 'page', items: body.rows.map(item), more: body.more, revision: body.epoch };
+    });
+  }
+
+  /** All pages under a prefix. The revision is that of the first page: a watch from there misses nothing. */
+  list(prefix: string, rank: Rank): Effect.Effect<ListResult> {
+    return Effect.gen({ self: this }, function* () {
+      const items: Item[] = [];
+      let after: string | null = null;
+      let revision = -1;
+      for (;;) {
+        const page: ListResult = yield* this.page(prefix, after, rank);
+        if (page._tag === 'failed') return page;
+        if (revision < 0) revision = page.revision;
+        items.push(...page.items);
+        const last = page.items.at(-1);
+        if (!page.more || !last) return { _tag: 'page', items, more: false, revision } as const;
+        after = last.key;
+      }
+    });
+  }
+
+  txn(when: readonly Condition[], writes: readonly Write[], rank: Rank): Effect.Effect<TxnResult> {
+    return Effect.promise(async (): Promise<TxnResult> => {
+      if (writes.length > 0 && !(await this.changes.take(writes.length, rank))) {
+        return { _tag: 'refused', why: 'over budget' };
+      }
+      const body = {
+        when: when.map((condition) => ({ path: condition.key, brandMark: condition.version })),
+        writes: writes.map((write) =>
+          write._tag === 'put'
+            ? {
+                write: write.key,
+                data: write.value,
+                ...(write.lease === undefined ? {} : { permit: write.lease }),
+              }
+            : { remove: write.key },
+        ),
+      };
+      const answer = await this.call(rank, this.calls, 'POST', '/txn', body, STORE_TIMEOUT_MS);
+      if (answer === null) return { _tag: 'refused', why: 'over budget' };
+      if (answer._tag === 'silence') return { _tag: 'unknown', why: answer.why };
+      const data = answer.body as { epoch?: number; failed?: string[]; error?: string } | null;
+      switch (answer.status) {
+        case 200:
+          return { _tag: 'committed', revision: data?.epoch ?? 0 };
+        case 409:
+          return { _tag: 'conflict', failed: data?.failed ?? [] };
+        case 400:
+          return data?.error === 'no such lease'
+            ? { _tag: 'noLease' }
+            : { _tag: 'refused', why: `400 ${data?.error ?? ''}` };
+        case 429:
+        case 503:
+          return { _tag: 'refused', why: `status ${answer.status}` };
+        default:
+          return { _tag: 'unknown', why: `status ${answer.status}` };
+      }
+    });
+  }
+
+  grant(): Effect.Effect<LeaseResult> {
+    return this.lease('POST', '/holds', { ttlMs: CLAIM_TTL_MS });
+  }
+  renew(lease: number): Effect.Effect<LeaseResult> {
+    return this.lease('POST', `/holds/${lease}/renew`, {});
+  }
+
+  private lease(method: string, path: string, body: unknown): Effect.Effect<LeaseResult> {
+    return Effect.promise(async (): Promise<LeaseResult> => {
+      if (!(await this.requests.take(1, 'vital'))) return { _tag: 'failed', why: 'over budget' };
+      const sentAt = this.now();
+      const answer = this.seen(await this.leases.request(method, path, body, RENEW_TIMEOUT_MS));
+      if (answer._tag === 'answer' && answer.status === 200) {
+        return { _tag: 'held', lease: (answer.body as { permit: number }).permit, sentAt };
+      }
+      if (answer._tag === 'answer' && answer.status === 404) return { _tag: 'gone' };
+      return { _tag: 'failed', why: why(answer) };
+    });
+  }
+
+  watch(prefix: string, since: number): Effect.Effect<WatchResult> {
+    return Effect.promise(async (): Promise<WatchResult> => {
+      if (!(await this.requests.take(1, 'user'))) return { _tag: 'failed', why: 'over budget' };
+      const path = `/follow?under=${encodeURIComponent(prefix)}&since=${since}&waitMs=${WATCH_MS}`;
+      const answer = this.seen(
+        await this.watches.request('GET', path, undefined, WATCH_MS + STORE_TIMEOUT_MS),
+      );
+      if (answer._tag === 'answer' && answer.status === 410) return { _tag: 'tooOld' };
+      if (answer._tag !== 'answer' || answer.status !== 200) return { _tag: 'failed', why: why(answer) };
+      const body = answer.body as {
+        epoch: number;
+        news: ({ write: string; data: unknown; brandMark: number } | { remove: string; brandMark: number })[];
+      };
+      return {
+        _tag: 'events',
+        revision: body.epoch,
+        events: body.news.map((event) =>
+          'write' in event
+            ? { _tag: 'put', item: { key: event.write, value: event.data, version: event.brandMark } }
+            : { _tag: 'delete', key: event.remove, version: event.brandMark },
+        ),
+      };
+    });
+  }
+}
--- /dev/null
+++ b/src/store/mirror.ts
@@ -0,0 +1,72 @@
+import * as Effect from 'effect/Effect';
+import { STORE_RETRY_MS } from '../constants.js';
+import { log } from '../log.js';
+import type { Item, Store, StoreEvent } from './client.js';
+import { SHARED } from './keys.js';
+
+/**
+ * This node's copy of the shared keys, in the order of their changes: what it shows was true at `revision`,
+ * and a later change is never shown before an earlier one. That order is what fencing relies on.
+ */
+export class Mirror {
+  private readonly items = new Map<string, Item>();
+  private readonly listeners: ((event: StoreEvent) => void)[] = [];
+  revision = -1;
+  /** True once the first full read is in. */
+  ready = false;
+
+  constructor(private readonly store: Store) {}
+
+  onEvent(listener: (event: StoreEvent) => void): void {
+    this.listeners.push(listener);
+  }
+  get(key: string): Item | undefined {
+    return this.items.get(key);
+  }
+  *under(prefix: string): IterableIterator<Item> {
+    for (const item of this.items.values()) if (item.key.startsWith(prefix)) yield item;
+  }
+
+  apply(event: StoreEvent): void {
+    const key = event._tag === 'put' ? event.item.key : event.key;
+    const version = event._tag === 'put' ? event.item.version : event.version;
+    const known = this.items.get(key);
+    if (known && known.version >= version) return;
+    if (event._tag === 'put') this.items.set(key, event.item);
+    else if (!this.items.delete(key)) return;
+    for (const listener of this.listeners) listener(event);
+  }
+
+  private reload(items: readonly Item[], revision: number): void {
+    const present = new Set(items.map((item) => item.key));
+    for (const key of [...this.items.keys()]) {
+      if (!present.has(key)) this.apply({ _tag: 'delete', key, version: revision });
+    }
+    for (const item of [...items].sort((a, b) => a.version - b.version)) this.apply({ _tag: 'put', item });
+    this.revision = revision;
+    this.ready = true;
+  }
+
+  readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
+    for (;;) {
+      const all = yield* this.store.list(SHARED, 'user');
+      if (all._tag === 'failed') {
+        log.debug({ event: 'mirror.list_failed', why: all.why });
+        yield* Effect.sleep(STORE_RETRY_MS);
+        continue;
+      }
+      this.reload(all.items, all.revision);
+      log.info({ event: 'mirror.loaded', items: all.items.length, revision: all.revision });
+      for (;;) {
+        const result = yield* this.store.watch(SHARED, this.revision);
+        if (result._tag === 'tooOld') break;
+        if (result._tag === 'failed') {
+          yield* Effect.sleep(STORE_RETRY_MS);
+          continue;
+        }
+        for (const event of result.events) this.apply(event);
+        this.revision = Math.max(this.revision, result.revision);
+      }
+    }
+  });
+}
--- /dev/null
+++ b/src/workers/desk.ts
@@ -0,0 +1,63 @@
+import type { Reply } from '../http.js';
+import { claimKey, machineKey } from '../store/keys.js';
+import type { Mirror } from '../store/mirror.js';
+import { readMachineRecord } from '../fleet/records.js';
+import { readReport, writeOrders } from './codec.js';
+import type { Command, Report } from './model.js';
+
+/** Where workers report: answers those of our shares, shows the others the way. */
+export interface DeskInput {
+  readonly me: string;
+  readonly mirror: Mirror;
+  readonly now: () => number;
+  /** The share with this number, if this node may answer for it now. */
+  readonly share: (slot: number) => {
+    onReport(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null;
+  } | null;
+  readonly adopt: (report: Report) => boolean;
+}
+
+const elsewhere = (boss: string | undefined): Reply => ({
+  status: 421,
+  body: boss === undefined ? {} : { boss },
+});
+
+export class Desk {
+  private readonly strays = new Map<string, { share: number; at: number }>();
+  constructor(private readonly input: DeskInput) {}
+
+  /** Machines of other nodes' shares that reported here lately, by share: their holder can't hear them. */
+  strayCounts(withinMs: number): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const [id, stray] of this.strays) {
+      if (this.input.now() - stray.at > withinMs) this.strays.delete(id);
+      else counts[stray.share] = (counts[stray.share] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  private holder(slot: string): string | undefined {
+    return (this.input.mirror.get(claimKey(slot))?.value as { n: string } | undefined)?.n;
+  }
+
+  handle(value: unknown): Reply {
+    const report = readReport(value);
+    if (!report) return { status: 400, body: { error: 'malformed report' } };
+    const item = this.input.mirror.get(machineKey(report.machine));
+    if (!item) {
+      const boss = this.holder('L');
+      if (this.input.adopt(report) || boss === this.input.me) return { status: 503 };
+      return elsewhere(boss);
+    }
+    const { share } = readMachineRecord(item.value);
+    const holder = this.holder(String(share));
+    if (holder !== this.input.me) {
+      this.strays.set(report.machine, { share, at: this.input.now() });
+      return elsewhere(holder);
+    }
+    this.strays.delete(report.machine);
+    const orders = this.input.share(share)?.onReport(report) ?? null;
+    if (!orders) return { status: 503 };
+    return { status: 200, body: writeOrders(orders.token, orders.commands) };
+  }
+}
--- /dev/null
+++ b/src/workers/model.ts
@@ -0,0 +1,41 @@
+/** What workers say and are told, in the field's terms. */
+export type ExitCause = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'noRoom' | 'busy' | 'unknown';
+
+export type TaskState =
+  | { readonly _tag: 'fetching' }
+  | { readonly _tag: 'waiting' }
+  | { readonly _tag: 'running' }
+  | { readonly _tag: 'saving' }
+  | { readonly _tag: 'exited'; readonly cause: ExitCause; readonly saved: boolean };
+
+export interface ReportedTask {
+  readonly job: string;
+  readonly index: number;
+  readonly attempt: number;
+  readonly state: TaskState;
+}
+
+export interface Report {
+  readonly machine: string;
+  readonly addr: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly session: number;
+  readonly seq: number;
+  /** Highest token the worker has seen. */
+  readonly token: number;
+  readonly noticeS: number | null;
+  readonly tasks: readonly ReportedTask[];
+}
+
+export type Command =
+  | { readonly _tag: 'run'; readonly job: string; readonly index: number; readonly attempt: number }
+  | {
+      readonly _tag: 'stop';
+      readonly job: string;
+      readonly index: number;
+      readonly attempt: number;
+      readonly graceS: number;
+    }
+  | { readonly _tag: 'forget'; readonly job: string; readonly index: number; readonly attempt: number };
--- /dev/null
+++ b/src/workers/react.ts
@@ -0,0 +1,91 @@
+import { SETTLE_OVERRUN_MS } from '../constants.js';
+import { bindingKey, type Binding, type ShareMachine } from '../placement/state.js';
+import { nextPhase } from '../placement/task.js';
+import type { Command, Report } from './model.js';
+
+/** What one report means for the tasks bound to its machine. Pure: the caller applies the changes. */
+export interface Change {
+  readonly binding: Binding;
+  readonly event: Parameters<typeof nextPhase>[1];
+}
+
+/**
+ * `underToken`: the worker has said that it saw our current token, so nothing of an earlier holder can
+ * still reach it. Commands only ever travel in answers to reports, and a worker that sends a new report has
+ * executed or dropped the answer to the one before: so a task missing from a newer report is not there, and
+ * no `run` of it is under way.
+ */
+export const readChanges = (
+  machine: ShareMachine,
+  report: Report,
+  underToken: boolean,
+): readonly Change[] => {
+  const changes: Change[] = [];
+  const newSession = machine.answeredAt !== null && report.session > machine.session;
+  const reported = new Map(
+    report.tasks.map((task) => [bindingKey(task.job, task.index, task.attempt), task]),
+  );
+  for (const [key, binding] of machine.bound) {
+    const task = reported.get(key);
+    if (task) changes.push({ binding, event: { _tag: 'reported', state: task.state } });
+    else {
+      switch (binding.phase._tag) {
+        case 'fetching':
+        case 'waiting':
+        case 'running':
+        case 'saving':
+          if (newSession) changes.push({ binding, event: { _tag: 'lost', how: { _tag: 'newSession' } } });
+          else if (underToken) changes.push({ binding, event: { _tag: 'lost', how: { _tag: 'absent' } } });
+          break;
+        case 'bound':
+          if (binding.stop && underToken)
+            changes.push({ binding, event: { _tag: 'lost', how: { _tag: 'absent' } } });
+          break;
+        case 'binding':
+        case 'gone':
+          break;
+      }
+    }
+  }
+  return changes;
+};
+
+/**
+ * The answer to a report, after its changes are applied. `settled`: the state service no longer binds this
+ * attempt to this machine, so that a later holder won't start it again once it is forgotten.
+ */
+export const answer = (
+  machine: ShareMachine,
+  report: Report,
+  underToken: boolean,
+  settled: (key: string, job: string, index: number) => boolean,
+  now: number,
+): readonly Command[] => {
+  const commands: Command[] = [];
+  const seen = new Set<string>();
+  for (const task of report.tasks) {
+    const key = bindingKey(task.job, task.index, task.attempt);
+    seen.add(key);
+    const name = { job: task.job, index: task.index, attempt: task.attempt };
+    const binding = machine.bound.get(key);
+    if (task.state._tag === 'exited') {
+      if (!binding && underToken && settled(key, task.job, task.index))
+        commands.push({ _tag: 'forget', ...name });
+      continue;
+    }
+    if (!binding) {
+      commands.push({ _tag: 'stop', ...name, graceS: 0 });
+      continue;
+    }
+    if (!binding.stop) continue;
+    const overdue = now - binding.stop.since > binding.stop.graceS * 1000 + SETTLE_OVERRUN_MS;
+    if (task.state._tag !== 'saving' || overdue || binding.stop.graceS === 0) {
+      commands.push({ _tag: 'stop', ...name, graceS: overdue ? 0 : binding.stop.graceS });
+    }
+  }
+  for (const [key, binding] of machine.bound) {
+    if (seen.has(key) || binding.phase._tag !== 'bound' || binding.stop) continue;
+    commands.push({ _tag: 'run', job: binding.job, index: binding.index, attempt: binding.attempt });
+  }
+  return commands;
+};
