Answers wait for the placement they made possible; rentals merged; holds by boot time

Cause: gangs waited a report for each step, and moved machines were taken for silent at once and returned.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -82,8 +82,18 @@
 export const BOOT_FACTOR = 2.5;
 /** s: added to that, for machines with very short boot times. */
 export const BOOT_SLACK_S = 20;
-/** s: an idle machine goes back after this; longer than one boot costs, shorter than the gap of demand. */
-export const IDLE_RETURN_S = 60;
+/** s: no idle machine goes back sooner, however fast it boots: reports and moves take some seconds. */
+export const IDLE_RETURN_S = 15;
+/** Nominal boot times for which an idle machine is held: about what a new one costs, in time and money. */
+export const IDLE_BOOTS = 1.5;
+/** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
+ *  worker waits 4 s, and its lease counts from when it sent the report. */
+export const ANSWER_WAIT_MS = 400;
+/** ms: work that may use spot machines waits this long before ordinary ones are rented for it: they cost a
+ *  multiple, and a queue on spot machines usually moves within one task's time. */
+export const SPOT_PATIENCE_MS = 15_000;
+/** Machines: idle ordinary ones that each share keeps for work that can use no other. */
+export const RESERVED_IDLE = 1;
 /** ms: a machine under suspicion gets no new tasks for this long. */
 export const SUSPECT_MS = 60_000;
 /** Machines: a job whose tasks failed on this many different machines is taken to be faulty itself. */
@@ -98,7 +108,7 @@
 export const SETTLE_OVERRUN_MS = 4_000;
 
 /** ms: between the leader's rounds. */
-export const LEADER_TICK_MS = 500;
+export const LEADER_TICK_MS = 250;
 /** ms: between reads of the machine list. */
 export const LIST_MS = 10_000;
 /** ms: between reads of the catalog. */
@@ -106,7 +116,11 @@
 /** ms: wait for the cloud. */
 export const CLOUD_TIMEOUT_MS = 6_000;
 /** ms: after "no capacity" for a type, zone and kind, other choices are tried for this long. */
-export const NO_CAPACITY_MS = 15_000;
+export const NO_CAPACITY_MS = 12_000;
+/** ms: repeated refusals double the pause up to this. */
+export const NO_CAPACITY_MAX_MS = 60_000;
+/** Rental requests under way at once; the cloud's rate bounds them too. */
+export const RENTS_AT_ONCE = 4;
 /** Machines in one rental request (protocol). */
 export const HIRE_MAX = 50;
 /** Names in one release (protocol). */
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -4,8 +4,10 @@
   CLOUD_RETRY_MS,
   LEADER_TICK_MS,
   LIST_MS,
+  NO_CAPACITY_MAX_MS,
   NO_CAPACITY_MS,
   RELEASE_MAX,
+  RENTS_AT_ONCE,
   STORE_RETRY_MS,
 } from '../constants.js';
 import type { Catalog, MachineType } from '../jobs/model.js';
@@ -14,7 +16,7 @@
 import { CATALOG_KEY, claimKey, machineKey } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
 import type { Cloud, ListedMachine } from './cloud.js';
-import { planSteps } from './plan.js';
+import { planSteps, type Step } from './plan.js';
 import { readMachineRecord, writeMachineRecord, type MachineRecord, type Summary } from './records.js';
 
 export interface LeaderInput {
@@ -34,7 +36,7 @@
 
 /** Rents, releases, adopts and moves: the one place that speaks to the cloud about machines. */
 export class Leader {
-  private readonly refusedUntil = new Map<string, number>();
+  private readonly refusedUntil = new Map<string, { until: number; span: number }>();
   private readonly releasedAt = new Map<string, number>();
   private sequence = 0;
   private listedAt = 0;
@@ -155,7 +157,12 @@
       const released = yield* this.input.cloud.release(ids);
       log.info({ event: 'machine.released', machines: ids, ok: released });
       if (!released) return;
-      for (const id of ids) this.releasedAt.set(id, this.input.now());
+      for (const item of wanted) {
+        const record = readMachineRecord(item.value);
+        this.releasedAt.set(item.key.slice('w/m/'.length), this.input.now());
+        // What we gave back may be had again.
+        this.refusedUntil.delete(kindKey(record.type, record.zone, record.spot));
+      }
       for (let tries = 0; tries < 5; tries += 1) {
         const result = yield* this.input.store.txn(
           [
@@ -205,54 +212,80 @@
         .summaries()
         .filter((summary) => summary.revision >= (this.rentedAt.get(summary.share) ?? 0));
       const now = this.input.now();
-      const key = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
       const steps = planSteps({
         summaries,
         catalog,
-        refused: (type, zone, spot) => (this.refusedUntil.get(key(type, zone, spot)) ?? 0) > now,
+        refused: (type, zone, spot) => (this.refusedUntil.get(kindKey(type, zone, spot))?.until ?? 0) > now,
       });
       for (const step of steps) {
-        if (this.input.entitled() !== claim) return;
-        if (step._tag === 'move') {
+        if (step._tag === 'move' && this.input.entitled() === claim)
           yield* this.input.move(step.from, step.machine, step.to);
-          continue;
-        }
-        this.sequence += 1;
-        // The claim's revision is durable and belongs to this process alone: such a name is never used twice.
-        const name = `r-${claim}-${this.sequence}`;
-        const result = yield* this.input.cloud.rent({ name, ...step });
-        log.info({
-          event: 'machine.rent',
-          name,
-          ...step,
-          result: result._tag,
-          got: result._tag === 'rented' ? result.machines : undefined,
-        });
-        if (result._tag === 'rented') {
-          if (result.machines.length < step.count)
-            this.refusedUntil.set(key(step.type, step.zone, step.spot), now + NO_CAPACITY_MS);
-          for (const id of result.machines) {
+      }
+      const rents = steps.filter((step) => step._tag === 'rent');
+      yield* Effect.forEach(rents, (step) => this.rent(claim, step), {
+        concurrency: RENTS_AT_ONCE,
+        discard: true,
+      });
+    });
+  }
+
+  private refuse(key: string): void {
+    const before = this.refusedUntil.get(key);
+    const span = Math.min(NO_CAPACITY_MAX_MS, before ? before.span * 2 : NO_CAPACITY_MS);
+    this.refusedUntil.set(key, { until: this.input.now() + span, span });
+  }
+
+  private rent(claim: number, step: Step & { readonly _tag: 'rent' }): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      if (this.input.entitled() !== claim) return;
+      const key = kindKey(step.type, step.zone, step.spot);
+      this.sequence += 1;
+      // The claim's revision is durable and belongs to this process alone: such a name is never used twice.
+      const name = `r-${claim}-${this.sequence}`;
+      const { type, zone, spot, count } = step;
+      const result = yield* this.input.cloud.rent({ name, type, zone, spot, count });
+      log.info({
+        event: 'machine.rent',
+        name,
+        type,
+        zone,
+        spot,
+        count,
+        shares: step.shares.join(),
+        result: result._tag,
+        got: result._tag === 'rented' ? result.machines : undefined,
+      });
+      switch (result._tag) {
+        case 'rented': {
+          if (result.machines.length < count) this.refuse(key);
+          else this.refusedUntil.delete(key);
+          for (const [index, id] of result.machines.entries()) {
             const record = {
-              share: step.share,
-              type: step.type,
-              zone: step.zone,
-              spot: step.spot,
+              share: step.shares[index] ?? 0,
+              type,
+              zone,
+              spot,
               at: this.input.wall(),
               releasing: false,
             };
             const written = yield* this.record(claim, id, record);
             if (written !== 'committed') this.adopting.set(id, record);
           }
-        } else if (result._tag === 'noCapacity') {
-          this.refusedUntil.set(key(step.type, step.zone, step.spot), now + NO_CAPACITY_MS);
-        } else {
-          yield* Effect.sleep(CLOUD_RETRY_MS);
           return;
         }
+        case 'noCapacity':
+          this.refuse(key);
+          return;
+        case 'refused':
+        case 'unknown':
+          this.refusedUntil.set(key, { until: this.input.now() + CLOUD_RETRY_MS, span: NO_CAPACITY_MS / 2 });
+          return;
       }
     });
   }
 }
 
+const kindKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
+
 export const readCatalog = (value: unknown): Catalog =>
   new Map((value as MachineType[]).map((type) => [type.name, type]));
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,4 +1,4 @@
-import { HIRE_MAX } from '../constants.js';
+import { HIRE_MAX, SPOT_PATIENCE_MS } from '../constants.js';
 import { howMany, type Catalog, type Demand, type MachineType } from '../jobs/model.js';
 import type { Need, Summary } from './records.js';
 
@@ -7,7 +7,8 @@
   | { readonly _tag: 'move'; readonly machine: string; readonly from: number; readonly to: number }
   | {
       readonly _tag: 'rent';
-      readonly share: number;
+      /** The share that each machine is for. */
+      readonly shares: readonly number[];
       readonly type: string;
       readonly zone: string;
       readonly spot: boolean;
@@ -40,7 +41,9 @@
     if (fits === 0) continue;
     for (const zone of type.zones) {
       if (need.zone !== null && need.zone !== zone) continue;
-      for (const spot of need.spot ? [true, false] : [false]) {
+      // Work that may use spot machines is worth an ordinary one only after a while.
+      const kinds = !need.spot ? [false] : need.waitedMs < SPOT_PATIENCE_MS ? [true] : [true, false];
+      for (const spot of kinds) {
         if (input.refused(type.name, zone, spot)) continue;
         list.push({ type, zone, spot, fits, cost: (spot ? type.spotPrice : type.price) / fits });
       }
@@ -103,7 +106,14 @@
         if (missing <= 0) break;
         if (zone !== null && offer.zone !== zone) continue;
         const count = Math.min(HIRE_MAX, Math.ceil(missing / offer.fits));
-        steps.push({ _tag: 'rent', share, type: offer.type.name, zone: offer.zone, spot: offer.spot, count });
+        steps.push({
+          _tag: 'rent',
+          shares: Array.from({ length: count }, () => share),
+          type: offer.type.name,
+          zone: offer.zone,
+          spot: offer.spot,
+          count,
+        });
         // What is not to be had shows in the answer; the next round tries elsewhere.
         missing = 0;
       }
@@ -124,7 +134,7 @@
   return howMany(demand(need), type, need.tasks);
 };
 
-/** Rentals of the same kind for the same share go in one request. */
+/** Rentals of one kind in one zone go in one request, for whichever shares they are. */
 const merge = (steps: readonly Step[]): readonly Step[] => {
   const rents = new Map<string, Step & { _tag: 'rent' }>();
   const out: Step[] = [];
@@ -133,9 +143,10 @@
       out.push(step);
       continue;
     }
-    const key = `${step.share}|${step.type}|${step.zone}|${step.spot}`;
+    const key = `${step.type}|${step.zone}|${step.spot}`;
     const known = rents.get(key);
-    rents.set(key, known ? { ...known, count: Math.min(HIRE_MAX, known.count + step.count) } : step);
+    const shares = [...(known?.shares ?? []), ...step.shares].slice(0, HIRE_MAX);
+    rents.set(key, { ...step, shares, count: shares.length });
   }
   return [...out, ...rents.values()];
 };
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -4,6 +4,7 @@
   BOOT_SLACK_S,
   CLOCK_DRIFT,
   FLUSH_MS,
+  IDLE_BOOTS,
   IDLE_RETURN_S,
   JOB_BACKOFF_MAX_MS,
   JOB_BACKOFF_MS,
@@ -11,6 +12,7 @@
   LEASE_MARGIN_MS,
   PLACE_TICK_MS,
   REBUILD_MS,
+  RESERVED_IDLE,
   SETTLE_EXTRA_S,
   STORE_RETRY_MS,
   SUSPECT_MS,
@@ -132,6 +134,7 @@
       session: 0,
       seq: 0,
       confirmedToken: 0,
+      takenAt: this.input.now(),
       answeredAt: null,
       noticeAt: null,
       noticeS: null,
@@ -377,7 +380,7 @@
   }
 
   /** null: an older message than one already seen, or one that knows a higher token than ours. */
-  onReport(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null {
+  onReport(report: Report): { readonly hurry: boolean } | null {
     const machine = this.machines.get(report.machine);
     if (!machine) return null;
     const token = this.token(machine);
@@ -387,6 +390,7 @@
     const now = this.input.now();
     const underToken = report.token === token;
     const changes = this.stage === 'loading' ? [] : readChanges(machine, report, underToken);
+    const wasConfirmed = machine.confirmedToken !== 0;
     machine.session = report.session;
     machine.seq = report.seq;
     machine.addr = report.addr;
@@ -398,15 +402,27 @@
       log.info({ event: 'machine.notice', machine: machine.id, noticeS: report.noticeS });
     }
     machine.noticeS = report.noticeS;
+    const bound = machine.bound.size;
     for (const change of changes) this.applyPhase(change.binding, change.event);
-    if (this.stage === 'loading') return { token, commands: [] };
     if (machine.noticeAt !== null) this.drain(machine);
+    if (machine.confirmedToken !== 0 && !wasConfirmed) this.poke();
+    // Room came free, or the machine came: what is placed on it next can travel in this very answer.
+    const hurry = this.stage === 'placing' && (machine.bound.size < bound || (underToken && !wasConfirmed));
+    return { hurry };
+  }
+
+  /** The commands that answer a machine's last report. */
+  orders(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null {
+    const machine = this.machines.get(report.machine);
+    if (!machine || machine.seq !== report.seq || machine.session !== report.session) return null;
+    const token = this.token(machine);
+    if (this.stage === 'loading') return { token, commands: [] };
     const commands = answer(
       machine,
       report,
-      underToken,
+      report.token === token,
       (key, job, index) => !(this.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false),
-      now,
+      this.input.now(),
     );
     return { token, commands };
   }
@@ -445,11 +461,26 @@
     );
   }
 
+  private readonly rounds: (() => void)[] = [];
+
+  /** Resolves when a whole round that begins after now is over, or after `ms`. */
+  nextRound(ms: number): Promise<void> {
+    this.poke();
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      this.rounds.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
   readonly run: Effect.Effect<void> = Effect.gen({ self: this }, function* () {
     if (this.stage === 'loading') yield* this.load;
     for (;;) {
       yield* this.pause();
       this.poked = false;
+      const waiting = this.rounds.splice(0);
       if (this.stage === 'lost') return;
       if (!this.input.entitled()) continue;
       this.watchMachines();
@@ -461,6 +492,7 @@
       }
       if (this.stage === 'placing') yield* this.place();
       yield* this.flush();
+      for (const resolve of waiting) resolve();
     }
   });
 
@@ -472,6 +504,12 @@
     );
   }
 
+  /** Holding an idle machine for about what a new one costs to bring up bounds the regret either way. */
+  private holdMs(machine: ShareMachine): number {
+    const bootS = this.input.catalog()?.get(machine.type)?.bootS ?? 0;
+    return Math.max(IDLE_RETURN_S, bootS * IDLE_BOOTS) * 1000;
+  }
+
   private bootAllowanceMs(machine: ShareMachine): number {
     const bootS = this.input.catalog()?.get(machine.type)?.bootS ?? 60;
     return (bootS * BOOT_FACTOR + BOOT_SLACK_S) * 1000;
@@ -490,7 +528,7 @@
   }
 
   private silent(machine: ShareMachine): boolean {
-    return this.input.now() - (machine.answeredAt ?? this.loadedAt) > this.leaseMs;
+    return this.input.now() - (machine.answeredAt ?? Math.max(this.loadedAt, machine.takenAt)) > this.leaseMs;
   }
 
   private watchMachines(): void {
@@ -528,7 +566,7 @@
     return (
       this.stage === 'placing' &&
       machine.idleSince !== null &&
-      this.input.now() - machine.idleSince > IDLE_RETURN_S * 1000
+      this.input.now() - machine.idleSince > this.holdMs(machine)
     );
   }
 
@@ -784,6 +822,9 @@
 
   private rooms(): Room[] {
     const rooms: Room[] = [];
+    let idle = 0;
+    for (const machine of this.machines.values())
+      if (!machine.spot && !machine.releasing && this.idle(machine)) idle += 1;
     for (const machine of this.machines.values()) {
       if (
         machine.releasing ||
@@ -822,15 +863,20 @@
         free,
         images: machine.images,
         live,
-        kept: this.keptForOthers(machine),
+        kept: this.keptForOthers(machine, idle),
       });
     }
     return rooms;
   }
 
-  /** Ordinary machines of a type that some job can't do without are no place for work that can use spot. */
-  private keptForOthers(machine: ShareMachine): boolean {
-    return !machine.spot && this.scarce.has(machine.type) && (this.input.catalog()?.size ?? 0) > 1;
+  /**
+   * Ordinary machines that some job can't do without are held back from work that can use spot: where that
+   * work has other types to go to, always; where it has none, as long as it would take one of the last idle.
+   */
+  private keptForOthers(machine: ShareMachine, idle: number): boolean {
+    if (machine.spot || !this.scarce.has(machine.type)) return false;
+    if ((this.input.catalog()?.size ?? 0) > 1) return true;
+    return machine.bound.size === 0 && idle <= RESERVED_IDLE;
   }
 
   private noteScarce(job: ShareJob): void {
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -72,6 +72,8 @@
   seq: number;
   /** A report of this session named our current token. */
   confirmedToken: number;
+  /** ms: when it came into this share under this holder. */
+  readonly takenAt: number;
   /** ms: the last report that we answered 200; null: none by this holder. */
   answeredAt: number | null;
   noticeAt: number | null;
--- a/src/service.ts
+++ b/src/service.ts
@@ -238,7 +238,7 @@
     if (call.path === '/ready') return Promise.resolve({ status: ready() ? 200 : 503 });
     if (call.path === '/hello') {
       if (call.method !== 'POST') return Promise.resolve({ status: 405, headers: { allow: 'POST' } });
-      return Promise.resolve(call.body._tag === 'value' ? desk.handle(call.body.value) : { status: 400 });
+      return call.body._tag === 'value' ? desk.handle(call.body.value) : Promise.resolve({ status: 400 });
     }
     if (parts[0] === 'v2' && parts[1] === 'runs') return inTime(users.handle(call, parts.slice(2)));
     return Promise.resolve({ status: 404 });
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -1,3 +1,4 @@
+import { ANSWER_WAIT_MS } from '../constants.js';
 import type { Reply } from '../http.js';
 import { claimKey, machineKey } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
@@ -12,7 +13,9 @@
   readonly now: () => number;
   /** The share with this number, if this node may answer for it now. */
   readonly share: (slot: number) => {
-    onReport(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null;
+    onReport(report: Report): { readonly hurry: boolean } | null;
+    nextRound(ms: number): Promise<void>;
+    orders(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null;
   } | null;
   readonly adopt: (report: Report) => boolean;
 }
@@ -40,7 +43,7 @@
     return (this.input.mirror.get(claimKey(slot))?.value as { n: string } | undefined)?.n;
   }
 
-  handle(value: unknown): Reply {
+  async handle(value: unknown): Promise<Reply> {
     const report = readReport(value);
     if (!report) return { status: 400, body: { error: 'malformed report' } };
     const item = this.input.mirror.get(machineKey(report.machine));
@@ -56,7 +59,10 @@
       return elsewhere(holder);
     }
     this.strays.delete(report.machine);
-    const orders = this.input.share(share)?.onReport(report) ?? null;
+    const heard = this.input.share(share)?.onReport(report) ?? null;
+    if (heard?.hurry) await this.input.share(share)?.nextRound(ANSWER_WAIT_MS);
+    // Asked again after the wait: the claim may have gone meanwhile.
+    const orders = heard ? (this.input.share(share)?.orders(report) ?? null) : null;
     if (!orders) return { status: 503 };
     return { status: 200, body: writeOrders(orders.token, orders.commands) };
   }
