--- a/src/constants.ts
+++ b/src/constants.ts
@@ -89,9 +89,17 @@
 /** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
  *  worker waits 4 s, and its lease counts from when it sent the report. */
 export const ANSWER_WAIT_MS = 400;
-/** ms: work that may use spot machines waits this long before ordinary ones are rented for it: they cost a
- *  multiple, and a queue on spot machines usually moves within one task's time. */
-export const SPOT_PATIENCE_MS = 15_000;
+/** s: work with no stated target that may use spot machines waits this long before ordinary ones are taken
+ *  for it: they cost a multiple, and a queue on spot machines usually moves within one task's time. */
+export const SPOT_PATIENCE_S = 45;
+/** s: slack to a target below which an ordinary machine that is up is taken rather than waited on. */
+export const URGENT_PLACE_S = 20;
+/** s: slack to a target, boot time taken off, below which an ordinary machine is rented. */
+export const URGENT_RENT_S = 15;
+/** s: taken off a target for an image that may have to be fetched; what a common image takes. */
+export const FETCH_GUESS_S = 10;
+/** Times the loosest start target after which a waiting job goes first again. */
+export const STARVING_FACTOR = 2.5;
 /** Machines: idle ordinary ones that each share keeps for work that can use no other. */
 export const RESERVED_IDLE = 1;
 /** ms: a machine under suspicion gets no new tasks for this long. */
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,4 +1,4 @@
-import { HIRE_MAX, SPOT_PATIENCE_MS } from '../constants.js';
+import { HIRE_MAX } from '../constants.js';
 import { howMany, type Catalog, type Demand, type MachineType } from '../jobs/model.js';
 import type { Need, Summary } from './records.js';
 
@@ -41,8 +41,8 @@
     if (fits === 0) continue;
     for (const zone of type.zones) {
       if (need.zone !== null && need.zone !== zone) continue;
-      // Work that may use spot machines is worth an ordinary one only after a while.
-      const kinds = !need.spot ? [false] : need.waitedMs < SPOT_PATIENCE_MS ? [true] : [true, false];
+      // Work that may use spot machines is worth an ordinary one only to save a target.
+      const kinds = !need.spot ? [false] : need.urgent ? [true, false] : [true];
       for (const spot of kinds) {
         if (input.refused(type.name, zone, spot)) continue;
         list.push({ type, zone, spot, fits, cost: (spot ? type.spotPrice : type.price) / fits });
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -34,6 +34,8 @@
   readonly spot: boolean;
   readonly gang: boolean;
   readonly oneZone: boolean;
+  /** Worth an ordinary machine although spot ones are allowed. */
+  readonly urgent: boolean;
   readonly priority: number;
   /** Tasks in all; for gangs the sizes are listed too. */
   readonly tasks: number;
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -36,6 +36,8 @@
     failedOn: new Set(),
     at: 0,
     withinGuarantee: false,
+    tier: 0,
+    urgency: { place: false, rent: false },
     ...rest,
   };
 };
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -1,3 +1,4 @@
+import type { Urgency } from './urgency.js';
 import { EPS, fitsIn, howMany, placeAllowed, type Demand, type JobSpec } from '../jobs/model.js';
 
 /** Where tasks go: pure functions over plain data. */
@@ -25,6 +26,9 @@
   readonly failedOn: ReadonlySet<string>;
   readonly at: number;
   readonly withinGuarantee: boolean;
+  /** Which start targets it can still meet; lower goes first. */
+  readonly tier: number;
+  readonly urgency: Urgency;
 }
 
 export interface Use {
@@ -120,7 +124,7 @@
   rooms.filter(
     (room) =>
       placeAllowed(ask.spec, room) &&
-      !(room.kept && ask.spec.spot) &&
+      !(ask.spec.spot && room.kept) &&
       !ask.failedOn.has(room.id) &&
       fitsIn(ask.spec, room.free),
   );
@@ -198,12 +202,13 @@
   readonly left: readonly { readonly ask: Ask; readonly count: number }[];
 }
 
-/** Most important first; then work within its team's guarantee; then the oldest. */
+/** Most important first; then work within its team's guarantee; then by targets; then the oldest. */
 export const order = (asks: readonly Ask[]): readonly Ask[] =>
   [...asks].sort(
     (a, b) =>
       b.spec.priority - a.spec.priority ||
       Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
+      a.tier - b.tier ||
       a.at - b.at ||
       (a.job < b.job ? -1 : 1),
   );
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -3,6 +3,7 @@
   BOOT_FACTOR,
   BOOT_SLACK_S,
   CLOCK_DRIFT,
+  FETCH_GUESS_S,
   FLUSH_MS,
   IDLE_BOOTS,
   IDLE_RETURN_S,
@@ -27,7 +28,15 @@
   type Summary,
 } from '../fleet/records.js';
 import { readJobRecord, writeFinalRecord } from '../jobs/codec.js';
-import { placeAllowed, type Catalog, type Demand, type FinalState, type JobRecord } from '../jobs/model.js';
+import {
+  fitsIn,
+  placeAllowed,
+  type Catalog,
+  type Demand,
+  type FinalState,
+  type JobRecord,
+  type JobSpec,
+} from '../jobs/model.js';
 import { log } from '../log.js';
 import type { Condition, Item, Store, TxnResult, Write } from '../store/client.js';
 import { claimKey, finalKey, jobKey, machineKey, parseRunKey, runKey, runsPrefix } from '../store/keys.js';
@@ -53,6 +62,7 @@
   type ShareMachine,
   type Stop,
 } from './state.js';
+import { tier, urgency, type Objectives } from './urgency.js';
 import { nextPhase, onMachine, type Gone, type PhaseEvent } from './task.js';
 
 export interface ShareInput {
@@ -62,6 +72,7 @@
   readonly shareOfTeam: ReadonlyMap<string, number>;
   readonly limits: ReadonlyMap<string, Limit>;
   readonly guarantees: ReadonlyMap<string, Use>;
+  readonly objectives: ReadonlyMap<string, Objectives>;
   readonly workers: { readonly lease_s: number; readonly gang_peer_s: number };
   /** May this node act for the share now, under this very claim? */
   readonly entitled: () => boolean;
@@ -892,6 +903,16 @@
     if (fits.length === 1 && fits[0]) this.scarce.add(fits[0].name);
   }
 
+  /** The shortest nominal boot among the types that the job may use. */
+  private bootS(spec: JobSpec): number {
+    let least = Number.POSITIVE_INFINITY;
+    for (const type of this.input.catalog()?.values() ?? []) {
+      if ((spec.types === null || spec.types.includes(type.name)) && fitsIn(spec, type))
+        least = Math.min(least, type.bootS);
+    }
+    return Number.isFinite(least) ? least : 0;
+  }
+
   private asks(): Ask[] {
     const now = this.input.now();
     const asks: Ask[] = [];
@@ -917,6 +938,8 @@
         if (zone !== undefined) inZones.set(zone, (inZones.get(zone) ?? 0) + 1);
       }
       const guarantee = this.input.guarantees.get(job.spec.team);
+      const objectives = this.input.objectives.get(job.spec.klass);
+      const waitedS = (this.input.wall() - job.at) / 1000;
       asks.push({
         job: job.spec.id,
         spec: job.spec,
@@ -924,6 +947,8 @@
         inZones,
         failedOn: job.failedOn,
         at: job.at,
+        tier: tier(objectives, waitedS),
+        urgency: urgency(job.spec, objectives, waitedS, this.bootS(job.spec), FETCH_GUESS_S),
         withinGuarantee:
           guarantee !== undefined &&
           use.gpus <= guarantee.gpus &&
@@ -1025,7 +1050,8 @@
     const needs = new Map<string, Need & { sizes: number[] }>();
     for (const { ask, count } of coming.left) {
       const { spec } = ask;
-      const klass = `${classOf({ ...spec, tasks: 1 })}|${spec.priority}`;
+      const urgent = ask.urgency.rent;
+      const klass = `${classOf({ ...spec, tasks: 1 })}|${spec.priority}|${urgent}`;
       const known = needs.get(klass);
       if (known) {
         (known as { tasks: number }).tasks += count;
@@ -1052,6 +1078,7 @@
         spot: spec.spot,
         gang: spec.kind === 'gang',
         oneZone: spec.oneZone,
+        urgent,
         priority: spec.priority,
         tasks: count,
         sizes: spec.kind === 'gang' ? [count] : [],
--- /dev/null
+++ b/src/placement/urgency.ts
@@ -0,0 +1,83 @@
+import { URGENT_PLACE_S, URGENT_RENT_S, SPOT_PATIENCE_S, STARVING_FACTOR } from '../constants.js';
+import type { JobSpec } from '../jobs/model.js';
+
+/** What the settings say is expected of a class of jobs, in seconds from submission. */
+export interface Objectives {
+  /** Start within. */
+  readonly wait: readonly number[];
+  /** Done within. */
+  readonly finished: readonly number[];
+}
+
+const RAW = { wait: 'wait', finished: 'finished' } as const;
+
+export const readObjectives = (raw: readonly unknown[] | undefined): ReadonlyMap<string, Objectives> => {
+  const classes = new Map<string, { wait: number[]; finished: number[] }>();
+  for (const entry of raw ?? []) {
+    const {
+      kind,
+      class: klass,
+      within_s: within,
+    } = entry as { kind?: unknown; class?: unknown; within_s?: unknown };
+    if (
+      typeof klass !== 'string' ||
+      typeof within !== 'number' ||
+      (kind !== RAW.wait && kind !== RAW.finished)
+    )
+      continue;
+    const known = classes.get(klass) ?? { wait: [], finished: [] };
+    known[kind].push(within);
+    classes.set(klass, known);
+  }
+  for (const known of classes.values()) {
+    known.wait.sort((a, b) => a - b);
+    known.finished.sort((a, b) => a - b);
+  }
+  return classes;
+};
+
+/** The times by which a job should be done: those of its class and its own deadline. */
+const targets = (spec: JobSpec, objectives: Objectives | undefined): readonly number[] => {
+  const list = [...(objectives?.finished ?? [])];
+  if (spec.deadlineS !== null && list.length === 0) list.push(spec.deadlineS);
+  return list;
+};
+
+export interface Urgency {
+  /** Taking an ordinary machine that is up now saves a target that waiting would miss. */
+  readonly place: boolean;
+  /** Renting an ordinary machine now still saves one, and later won't. */
+  readonly rent: boolean;
+}
+
+/**
+ * Work that may use spot machines is worth an ordinary one, which costs a multiple, only where that saves a
+ * target: neither while there is slack to wait for a spot machine, nor once the target is lost anyway.
+ */
+export const urgency = (
+  spec: JobSpec,
+  objectives: Objectives | undefined,
+  waitedS: number,
+  bootS: number,
+  fetchS: number,
+): Urgency => {
+  const list = targets(spec, objectives);
+  if (list.length === 0) return { place: waitedS > SPOT_PATIENCE_S, rent: waitedS > SPOT_PATIENCE_S };
+  const slack = (target: number): number => target - waitedS - spec.estimateS - fetchS;
+  return {
+    place: list.some((target) => slack(target) >= 0 && slack(target) < URGENT_PLACE_S),
+    rent: list.some((target) => slack(target) - bootS >= 0 && slack(target) - bootS < URGENT_RENT_S),
+  };
+};
+
+/**
+ * Which of the start targets a waiting job can still meet: 0 all, 1 all but the tightest, and so on. Jobs that
+ * can still meet one go before those that can't, unless these have waited many times as long.
+ */
+export const tier = (objectives: Objectives | undefined, waitedS: number): number => {
+  const list = objectives?.wait ?? [];
+  const last = list.at(-1);
+  if (last === undefined) return 0;
+  if (waitedS > last * STARVING_FACTOR) return 0;
+  return list.filter((target) => waitedS > target).length;
+};
--- a/src/service.ts
+++ b/src/service.ts
@@ -19,6 +19,7 @@
 import type { Catalog } from './jobs/model.js';
 import { log } from './log.js';
 import { Mesh } from './mesh/mesh.js';
+import { readObjectives } from './placement/urgency.js';
 import { Share, type ShareInput } from './placement/share.js';
 import type { Settings } from './settings/schema.js';
 import { divideTeams, nodeNames } from './settings/teams.js';
@@ -44,6 +45,8 @@
   );
   const guarantees = new Map(facts.teams.map((team) => [team.name, { cpus: team.cpus, gpus: team.gpus }]));
 
+  const objectives = readObjectives(facts.objectives);
+
   const store = new Store(parseTarget(settings.services.state), { ...facts.state, nodes: nodes.length }, now);
   const mirror = new Mirror(store);
   const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now);
@@ -155,6 +158,7 @@
     shareOfTeam,
     limits,
     guarantees,
+    objectives,
     workers: facts.workers,
     entitled: () => keeper.entitled(String(slot)) === claim,
     now,
