Direct commands for fresh binds and moved machines; a deaf holder hands its share over

Cause: a fresh bind waited up to a report, a moved machine about two; a node cut only from its workers would have released them all. Direct runs of unknown outcome are remembered until the worker has seen a higher token.

--- a/src/claims/decide.ts
+++ b/src/claims/decide.ts
@@ -18,6 +18,8 @@
   /** ms for which it has answered without a gap; negative: it does not answer. */
   readonly steadyMs: number;
   readonly stateOk: boolean;
+  /** It says that workers lately could not reach it. */
+  readonly deaf: boolean;
 }
 export interface ClaimsView {
   readonly me: Claim;
@@ -27,6 +29,10 @@
   /** When each slot without a claim was first seen without (ms). */
   readonly freeSince: ReadonlyMap<string, number>;
   readonly siblings: readonly Sibling[];
+  /** Shares of ours whose workers reach another node but not us: by slot, that node. */
+  readonly unheard: ReadonlyMap<string, string>;
+  /** Workers lately could not reach this node: it leaves shares to others as long as they take them. */
+  readonly deaf: boolean;
   readonly now: number;
 }
 export type ClaimAction =
@@ -62,6 +68,15 @@
     if (waited >= patience) actions.push({ _tag: 'take', slot, version: 0 });
   }
 
+  for (const [slot, node] of view.unheard) {
+    const claim = view.claims.get(slot);
+    const to = view.siblings.find((sibling) => sibling.node === node);
+    if (claim && mine(claim) && to?.stateOk && to.lease !== null && to.steadyMs >= 0) {
+      actions.push({ _tag: 'hand', slot, version: claim.version, to });
+    }
+  }
+  if (view.unheard.size > 0) return actions;
+
   // Teams stay divided among controllers: a node with several shares hands one to its steady, empty owner.
   if (held(view.me.node) > 1) {
     for (const slot of view.slots) {
@@ -70,7 +85,7 @@
       if (!claim || !mine(claim) || owner === undefined || owner === view.me.node || held(owner) > 0)
         continue;
       const to = view.siblings.find((sibling) => sibling.node === owner);
-      if (to && to.stateOk && to.lease !== null && to.steadyMs >= HANDBACK_STABLE_MS) {
+      if (to && !to.deaf && to.stateOk && to.lease !== null && to.steadyMs >= HANDBACK_STABLE_MS) {
         actions.push({ _tag: 'hand', slot, version: claim.version, to });
         break;
       }
--- a/src/claims/keeper.ts
+++ b/src/claims/keeper.ts
@@ -1,5 +1,5 @@
 import * as Effect from 'effect/Effect';
-import { CLAIM_RENEW_MS, CLAIM_TICK_MS, CLAIM_TTL_MS } from '../constants.js';
+import { CLAIM_RENEW_MS, CLAIM_TICK_MS, CLAIM_TTL_MS, DEAF_PAUSE_MS } from '../constants.js';
 import { log } from '../log.js';
 import type { Store } from '../store/client.js';
 import { claimKey } from '../store/keys.js';
@@ -14,6 +14,7 @@
   readonly siblings: () => readonly Sibling[];
   /** Most nodes, this one included, cannot reach the state service. */
   readonly outage: () => boolean;
+  readonly unheard: () => ReadonlyMap<string, string>;
   readonly now: () => number;
 }
 
@@ -23,6 +24,12 @@
   readonly slots: readonly string[];
   private readonly freeSince = new Map<string, number>();
 
+  private deafUntil = 0;
+  /** Workers lately could not reach this node. */
+  get deaf(): boolean {
+    return this.input.now() < this.deafUntil;
+  }
+
   constructor(
     private readonly store: Store,
     private readonly mirror: Mirror,
@@ -96,6 +103,8 @@
           this.freeSince.delete(slot);
         } else if (!this.freeSince.has(slot)) this.freeSince.set(slot, now);
       }
+      const unheard = this.input.unheard();
+      if (unheard.size > 0) this.deafUntil = now + DEAF_PAUSE_MS;
       const actions = decideClaims({
         me: this.input.me,
         nodes: this.input.nodes,
@@ -103,6 +112,8 @@
         claims,
         freeSince: this.freeSince,
         siblings: this.input.siblings(),
+        unheard,
+        deaf: this.deaf,
         now,
       });
       for (const action of actions) {
--- a/src/claims/tenure.test.ts
+++ b/src/claims/tenure.test.ts
@@ -93,6 +93,8 @@
   claims: new Map(),
   freeSince: new Map(),
   siblings: [],
+  unheard: new Map(),
+  deaf: false,
   now: 0,
   ...over,
 });
@@ -130,7 +132,7 @@
     name: 'a second share goes back to a steady node without one',
     view: view({
       claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n2'), L: claim('n2') }),
-      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true }],
+      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true, deaf: false }],
     }),
     expect: ['hand 1'],
   },
@@ -139,12 +141,29 @@
     view: view({
       claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n0'), L: claim('n2') }),
       siblings: [
-        { node: 'n1', incarnation: '2', lease: 3, steadyMs: 100, stateOk: true },
-        { node: 'n2', incarnation: '2', lease: 4, steadyMs: 60_000, stateOk: false },
+        { node: 'n1', incarnation: '2', lease: 3, steadyMs: 100, stateOk: true, deaf: false },
+        { node: 'n2', incarnation: '2', lease: 4, steadyMs: 60_000, stateOk: false, deaf: false },
       ],
     }),
     expect: [],
   },
+  {
+    name: 'a share whose workers reach only another node is handed to that node',
+    view: view({
+      claims: all({ '0': claim('n0'), '1': claim('n1'), '2': claim('n2'), L: claim('n2') }),
+      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 100, stateOk: true, deaf: false }],
+      unheard: new Map([['0', 'n1']]),
+    }),
+    expect: ['hand 0'],
+  },
+  {
+    name: 'and does not come back while its owner says that workers could not reach it',
+    view: view({
+      claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n2'), L: claim('n2') }),
+      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true, deaf: true }],
+    }),
+    expect: [],
+  },
 ];
 for (const row of decisions) {
   test(`claims: ${row.name}`, () => {
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -115,6 +115,13 @@
 /** ms: a saving task that overstays its grace by this is ended without. */
 export const SETTLE_OVERRUN_MS = 4_000;
 
+/** ms: wait for a worker's answer to direct commands. */
+export const DIRECT_TIMEOUT_MS = 1_500;
+/** ms: a holder that heard no worker for this long, while another node hears them, hands its share over. */
+export const DEAF_MS = 9_000;
+/** ms: after that it takes no share back; long enough for most cuts, and it can't tell when one ends. */
+export const DEAF_PAUSE_MS = 45_000;
+
 /** ms: between the leader's rounds. */
 export const LEADER_TICK_MS = 250;
 /** ms: between reads of the machine list. */
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -59,6 +59,8 @@
       spot,
       at: this.input.wall(),
       releasing: false,
+      addr: '',
+      session: 0,
     });
   }
 
@@ -267,6 +269,8 @@
               spot,
               at: this.input.wall(),
               releasing: false,
+              addr: '',
+              session: 0,
             };
             const written = yield* this.record(claim, id, record);
             if (written !== 'committed') this.adopting.set(id, record);
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -8,6 +8,9 @@
   readonly at: number;
   /** Its holder wants it released and binds nothing to it any more. */
   readonly releasing: boolean;
+  /** Where its worker was last heard, for the next holder; empty: not known. */
+  readonly addr: string;
+  readonly session: number;
 }
 
 export const writeMachineRecord = (record: MachineRecord): unknown => ({
@@ -17,11 +20,30 @@
   p: record.spot,
   t: record.at,
   r: record.releasing,
+  ...(record.addr === '' ? {} : { a: record.addr, n: record.session }),
 });
 
 export const readMachineRecord = (data: unknown): MachineRecord => {
-  const raw = data as { s: number; b: string; z: string; p: boolean; t: number; r: boolean };
-  return { share: raw.s, type: raw.b, zone: raw.z, spot: raw.p, at: raw.t, releasing: raw.r };
+  const raw = data as {
+    s: number;
+    b: string;
+    z: string;
+    p: boolean;
+    t: number;
+    r: boolean;
+    a?: string;
+    n?: number;
+  };
+  return {
+    share: raw.s,
+    type: raw.b,
+    zone: raw.z,
+    spot: raw.p,
+    at: raw.t,
+    releasing: raw.r,
+    addr: raw.a ?? '',
+    session: raw.n ?? 0,
+  };
 };
 
 /** What a share still needs, as its holder tells the leader: one entry a class of like jobs. */
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -12,6 +12,7 @@
   /** ms since the state service last answered this node. */
   readonly stateAgeMs: number;
   readonly summaries: readonly Summary[];
+  readonly deaf: boolean;
   /** Machines that lately reported here although another node holds their share: by share. */
   readonly strays: Readonly<Record<string, number>>;
 }
@@ -67,6 +68,7 @@
       lease: known.beat.lease,
       steadyMs: now - known.at < BEAT_FRESH_MS ? now - known.steadySince : -1,
       stateOk: known.beat.stateAgeMs < BEAT_FRESH_MS,
+      deaf: known.beat.deaf,
     }));
   }
 
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -42,6 +42,7 @@
 import { claimKey, finalKey, jobKey, machineKey, parseRunKey, runKey, runsPrefix } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
 import type { Command, Report } from '../workers/model.js';
+import type { DirectResult } from '../workers/line.js';
 import { answer, readChanges } from '../workers/react.js';
 import { classOf, order, packAll, type Ask, type Limit, type Room, type Use } from './pack.js';
 import {
@@ -79,6 +80,12 @@
   readonly now: () => number;
   /** ms since the epoch; only for ages of jobs and machines, never for leases. */
   readonly wall: () => number;
+  readonly direct: (
+    addr: string,
+    token: number,
+    session: number,
+    commands: readonly Command[],
+  ) => Promise<DirectResult>;
   /** Something changed that the leader or a worker waits for. */
   readonly changed: () => void;
 }
@@ -132,7 +139,7 @@
       return;
     }
     const type = this.input.catalog()?.get(record.type);
-    this.machines.set(id, {
+    const machine: ShareMachine = {
       id,
       type: record.type,
       zone: record.zone,
@@ -141,7 +148,7 @@
       since: record.at,
       releasing: record.releasing,
       cordoned: false,
-      addr: '',
+      addr: record.addr,
       session: 0,
       seq: 0,
       confirmedToken: 0,
@@ -149,13 +156,18 @@
       answeredAt: null,
       noticeAt: null,
       noticeS: null,
+      unsureRuns: new Map(),
+      answering: 0,
       reported: [],
       bound: new Map(),
       images: new Set(),
       health: { _tag: 'fine' },
       idleSince: null,
       total: type ?? { cpus: 0, gpus: 0, memoryGb: 0 },
-    });
+      raiseToken: false,
+    };
+    this.machines.set(id, machine);
+    if (record.addr !== '' && this.input.entitled()) this.greet(machine, record.session);
     this.poke();
   }
 
@@ -271,6 +283,7 @@
         machine: machine.id,
         phase: { _tag: 'bound' },
         stop: null,
+        seen: null,
         boundAt: this.input.now(),
         runningAt: null,
       };
@@ -400,7 +413,11 @@
       return null;
     const now = this.input.now();
     const underToken = report.token === token;
-    const changes = this.stage === 'loading' ? [] : readChanges(machine, report, underToken);
+    const changes =
+      this.stage === 'loading'
+        ? []
+        : readChanges(machine, report, underToken, (key) => this.mayBeLate(machine, key, report.token));
+    this.noteSeen(machine, report);
     const wasConfirmed = machine.confirmedToken !== 0;
     machine.session = report.session;
     machine.seq = report.seq;
@@ -422,6 +439,104 @@
     return { hurry };
   }
 
+  /** May a direct `run` of this attempt still be carried out, as far as a worker with this token goes? */
+  private mayBeLate(machine: ShareMachine, key: string, seenToken: number): boolean {
+    const token = machine.unsureRuns.get(key);
+    if (token === undefined) return false;
+    if (seenToken <= token) return true;
+    machine.unsureRuns.delete(key);
+    return false;
+  }
+
+  private noteSeen(machine: ShareMachine, report: Report): void {
+    for (const task of report.tasks) {
+      const binding = machine.bound.get(bindingKey(task.job, task.index, task.attempt));
+      const seen = binding?.seen;
+      if (!binding) continue;
+      if (
+        seen &&
+        (seen.session > report.session || (seen.session === report.session && seen.seq >= report.seq))
+      )
+        continue;
+      binding.seen = { session: report.session, seq: report.seq };
+    }
+  }
+
+  /** Sends the `run`s of freshly bound tasks straight to their machines instead of waiting for reports. */
+  private sendDirect(bindings: readonly Binding[]): void {
+    const byMachine = new Map<string, Binding[]>();
+    for (const binding of bindings) {
+      if (binding.phase._tag !== 'bound' || binding.stop) continue;
+      byMachine.set(binding.machine, [...(byMachine.get(binding.machine) ?? []), binding]);
+    }
+    for (const [id, list] of byMachine) {
+      const machine = this.machines.get(id);
+      if (!machine || machine.answering > 0 || machine.addr === '' || machine.confirmedToken === 0) continue;
+      const token = this.token(machine);
+      for (const binding of list)
+        machine.unsureRuns.set(bindingKey(binding.job, binding.index, binding.attempt), token);
+      const commands = list.map((binding): Command => ({
+        _tag: 'run',
+        job: binding.job,
+        index: binding.index,
+        attempt: binding.attempt,
+      }));
+      void this.input.direct(machine.addr, token, machine.session, commands).then((result) => {
+        switch (result._tag) {
+          case 'executed':
+          case 'refused':
+            for (const binding of list) {
+              const key = bindingKey(binding.job, binding.index, binding.attempt);
+              if (machine.unsureRuns.get(key) === token) machine.unsureRuns.delete(key);
+            }
+            if (result._tag === 'executed') this.onDirectReport(machine, result.report);
+            return;
+          case 'unsure':
+            machine.raiseToken = true;
+            log.info({ event: 'direct.unsure', machine: id, tasks: list.length });
+            this.poke();
+        }
+      });
+    }
+  }
+
+  /**
+   * What a direct answer shows is there is there. What it doesn't show proves nothing: the answer to a report
+   * may be on its way at the same time.
+   */
+  private onDirectReport(machine: ShareMachine, report: Report): void {
+    if (this.stage === 'lost' || this.stage === 'loading' || this.machines.get(machine.id) !== machine)
+      return;
+    if (report.session < machine.session) return;
+    for (const task of report.tasks) {
+      const binding = machine.bound.get(bindingKey(task.job, task.index, task.attempt));
+      const seen = binding?.seen;
+      if (!binding || (seen && seen.session === report.session && seen.seq >= report.seq)) continue;
+      this.applyPhase(binding, { _tag: 'reported', state: task.state });
+    }
+    this.noteSeen(machine, report);
+  }
+
+  /** A machine that came from another share: its worker hears of the new token at once, not by asking around. */
+  private greet(machine: ShareMachine, session: number): void {
+    const token = this.token(machine);
+    void this.input.direct(machine.addr, token, session, []).then((result) => {
+      if (
+        this.machines.get(machine.id) !== machine ||
+        this.token(machine) !== token ||
+        machine.confirmedToken !== 0
+      )
+        return;
+      if (result._tag !== 'executed' || result.report.token !== token || machine.answeredAt !== null) return;
+      machine.session = result.report.session;
+      machine.confirmedToken = token;
+      machine.reported = result.report.tasks;
+      // Later than the last answer of any earlier holder that the worker can have accepted.
+      machine.answeredAt = this.input.now();
+      this.poke();
+    });
+  }
+
   /** The commands that answer a machine's last report. */
   orders(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null {
     const machine = this.machines.get(report.machine);
@@ -432,7 +547,9 @@
       machine,
       report,
       report.token === token,
-      (key, job, index) => !(this.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false),
+      (key, job, index) =>
+        !this.mayBeLate(machine, key, report.token) &&
+        !(this.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false),
       this.input.now(),
     );
     return { token, commands };
@@ -475,14 +592,21 @@
   private readonly rounds: (() => void)[] = [];
 
   /** Resolves when a whole round that begins after now is over, or after `ms`. */
-  nextRound(ms: number): Promise<void> {
+  nextRound(id: string, ms: number): Promise<void> {
     this.poke();
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, ms);
-      this.rounds.push(() => {
+    const machine = this.machines.get(id);
+    if (machine) machine.answering += 1;
+    return new Promise<void>((resolve) => {
+      const end = (): void => {
         clearTimeout(timer);
+        if (!this.rounds.includes(end)) return resolve();
+        this.rounds.splice(this.rounds.indexOf(end), 1);
         resolve();
-      });
+      };
+      const timer = setTimeout(end, ms);
+      this.rounds.push(end);
+    }).then(() => {
+      if (machine) machine.answering -= 1;
     });
   }
 
@@ -521,6 +645,20 @@
     return Math.max(IDLE_RETURN_S, bootS * IDLE_BOOTS) * 1000;
   }
 
+  /** Machines that have reported, and those that did within the last `ms`. */
+  hearing(ms: number): { readonly machines: number; readonly heard: number } {
+    const now = this.input.now();
+    let machines = 0;
+    let heard = now - this.loadedAt < ms || this.stage === 'loading' ? 1 : 0;
+    for (const machine of this.machines.values()) {
+      if (machine.answeredAt === null && now - machine.takenAt < ms) continue;
+      if (machine.answeredAt === null && this.booting(machine)) continue;
+      machines += 1;
+      if (now - (machine.answeredAt ?? 0) < ms) heard += 1;
+    }
+    return { machines, heard };
+  }
+
   private bootAllowanceMs(machine: ShareMachine): number {
     const bootS = this.input.catalog()?.get(machine.type)?.bootS ?? 60;
     return (bootS * BOOT_FACTOR + BOOT_SLACK_S) * 1000;
@@ -584,6 +722,10 @@
   private readonly releaseMachines = (): Effect.Effect<void> =>
     Effect.gen({ self: this }, function* () {
       for (const machine of [...this.machines.values()]) {
+        if (machine.raiseToken && !machine.releasing) {
+          machine.raiseToken = false;
+          yield* this.rewriteMachine(machine, { share: this.slot, releasing: false });
+        }
         if (!this.wantsRelease(machine)) continue;
         log.info({ event: 'machine.release_wanted', machine: machine.id, silent: this.silent(machine) });
         yield* this.rewriteMachine(machine, { share: this.slot, releasing: true });
@@ -622,6 +764,8 @@
         spot: machine.spot,
         at: machine.since,
         releasing: to.releasing,
+        addr: machine.addr,
+        session: machine.session,
       };
       // From here nothing is placed on it, also while the outcome is unknown.
       machine.releasing = true;
@@ -985,6 +1129,7 @@
           machine: put.machine,
           phase: { _tag: 'binding' },
           stop: null,
+          seen: null,
           boundAt: now,
           runningAt: null,
         };
@@ -1006,6 +1151,7 @@
             if (committed) this.applyPhase(binding, { _tag: 'durable' });
             else this.unbind(binding);
           }
+          if (committed) this.sendDirect(bindings);
         }
         if (committed) this.input.changed();
       }.bind(this);
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -19,6 +19,8 @@
   readonly machine: string;
   phase: Phase;
   stop: Stop | null;
+  /** The newest message of its machine that showed it. */
+  seen: { readonly session: number; readonly seq: number } | null;
   /** ms, when it was decided, and when it was first seen running. */
   readonly boundAt: number;
   runningAt: number | null;
@@ -78,6 +80,15 @@
   answeredAt: number | null;
   noticeAt: number | null;
   noticeS: number | null;
+  /**
+   * Direct `run`s of unknown outcome, with the token they carried: such a command may still be carried out
+   * until the worker has seen a higher token.
+   */
+  readonly unsureRuns: Map<string, number>;
+  /** Its record is to be rewritten, for a higher token that ends what is unsure. */
+  raiseToken: boolean;
+  /** Reports whose answer is being held for a placement round: direct commands are not needed. */
+  answering: number;
   reported: readonly ReportedTask[];
   readonly bound: Map<string, Binding>;
   readonly images: Set<string>;
--- a/src/service.ts
+++ b/src/service.ts
@@ -7,6 +7,7 @@
   BEAT_FRESH_MS,
   BODY_MAX_BYTES,
   COUNTS_TIMEOUT_MS,
+  DEAF_MS,
   ANSWER_MAX_BYTES,
   SOCKETS_IN,
   USER_BUDGET_MS,
@@ -26,6 +27,7 @@
 import { Store } from './store/client.js';
 import { CATALOG_KEY, claimKey } from './store/keys.js';
 import { Mirror } from './store/mirror.js';
+import { Line } from './workers/line.js';
 import { Desk } from './workers/desk.js';
 
 /** Composes the slices of one controller. */
@@ -49,6 +51,7 @@
 
   const store = new Store(parseTarget(settings.services.state), { ...facts.state, nodes: nodes.length }, now);
   const mirror = new Mirror(store);
+  const line = new Line();
   const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now);
 
   let catalogVersion = 0;
@@ -75,6 +78,7 @@
       lease: keeper.lease,
       stateAgeMs: stateAge(),
       summaries: ownSummaries(),
+      deaf: keeper.deaf,
       strays: desk.strayCounts(BEAT_FRESH_MS * 2),
     }),
     answer: async (path, body) => {
@@ -101,12 +105,25 @@
     return word.up === 0 && (word.down + 1) * 2 > nodes.length;
   };
 
+  /** Shares of ours whose workers all fell silent here while another node hears half of them. */
+  const unheard = (): ReadonlyMap<string, string> => {
+    const found = new Map<string, string>();
+    for (const [slot, { share }] of shares) {
+      const { machines, heard } = share.hearing(DEAF_MS);
+      const strays = mesh.strays(String(slot));
+      if (machines > 0 && heard === 0 && strays && strays.count * 2 >= machines)
+        found.set(String(slot), strays.node);
+    }
+    return found;
+  };
+
   const keeper: Keeper = new Keeper(store, mirror, {
     me,
     nodes,
     slotCount: slots,
     siblings: () => mesh.siblings(),
     outage,
+    unheard,
     now,
   });
 
@@ -163,6 +180,7 @@
     entitled: () => keeper.entitled(String(slot)) === claim,
     now,
     wall,
+    direct: (addr, token, session, commands) => line.send(addr, token, session, commands),
     changed: () => mesh.hurry(),
   });
 
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -14,7 +14,7 @@
   /** The share with this number, if this node may answer for it now. */
   readonly share: (slot: number) => {
     onReport(report: Report): { readonly hurry: boolean } | null;
-    nextRound(ms: number): Promise<void>;
+    nextRound(machine: string, ms: number): Promise<void>;
     orders(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null;
   } | null;
   readonly adopt: (report: Report) => boolean;
@@ -60,7 +60,7 @@
     }
     this.strays.delete(report.machine);
     const heard = this.input.share(share)?.onReport(report) ?? null;
-    if (heard?.hurry) await this.input.share(share)?.nextRound(ANSWER_WAIT_MS);
+    if (heard?.hurry) await this.input.share(share)?.nextRound(report.machine, ANSWER_WAIT_MS);
     // Asked again after the wait: the claim may have gone meanwhile.
     const orders = heard ? (this.input.share(share)?.orders(report) ?? null) : null;
     if (!orders) return { status: 503 };
--- /dev/null
+++ b/src/workers/line.ts
@@ -0,0 +1,72 @@
+import * as http from 'node:http';
+import { DIRECT_TIMEOUT_MS } from '../constants.js';
+import { decode, encode, parseTarget } from '../http.js';
+import { readReport, writeOrders } from './codec.js';
+import type { Command, Report } from './model.js';
+
+/** Commands sent straight to a worker, for the time until its next report. They may be carried out late. */
+export type DirectResult =
+  | { readonly _tag: 'executed'; readonly report: Report }
+  /** Nothing was carried out, nor will be. */
+  | { readonly _tag: 'refused'; readonly report: Report | null }
+  /** May have been carried out, or may be as long as token and session match. */
+  | { readonly _tag: 'unsure' };
+
+export class Line {
+  private readonly agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: 1,
+    maxFreeSockets: 1,
+    maxTotalSockets: 128,
+  });
+
+  send(addr: string, token: number, session: number, commands: readonly Command[]): Promise<DirectResult> {
+    return new Promise((resolve) => {
+      const payload = encode({ ...(writeOrders(token, commands) as object), stint: session });
+      const { host, port } = parseTarget(addr);
+      let connected = false;
+      const end = (result: DirectResult): void => {
+        clearTimeout(timer);
+        resolve(result);
+      };
+      const req = http.request(
+        {
+          host,
+          port,
+          method: 'POST',
+          path: '/commands',
+          agent: this.agent,
+          headers: { 'content-type': 'application/msgpack', 'content-length': payload.length },
+        },
+        (res) => {
+          const parts: Buffer[] = [];
+          res.on('data', (part: Buffer) => parts.push(part));
+          res.on('error', () => end({ _tag: 'unsure' }));
+          res.on('aborted', () => end({ _tag: 'unsure' }));
+          res.on('end', () => {
+            let report: Report | null = null;
+            try {
+              report = readReport(decode(Buffer.concat(parts)));
+            } catch {
+              report = null;
+            }
+            if (res.statusCode === 200 && report) end({ _tag: 'executed', report });
+            else if (res.statusCode === 409 || res.statusCode === 400) end({ _tag: 'refused', report });
+            else end({ _tag: 'unsure' });
+          });
+        },
+      );
+      const timer = setTimeout(() => {
+        // A connection that was never made never completes later, so nothing of it can arrive.
+        end(connected ? { _tag: 'unsure' } : { _tag: 'refused', report: null });
+        req.destroy();
+      }, DIRECT_TIMEOUT_MS);
+      req.on('socket', (socket) => {
+        if (!socket.connecting) connected = true;
+        else socket.once('connect', () => (connected = true));
+      });
+      req.on('error', () => end(connected ? { _tag: 'unsure' } : { _tag: 'refused', report: null }));
+      req.end(payload);
+    });
+  }
+}
--- a/src/workers/react.ts
+++ b/src/workers/react.ts
@@ -10,15 +10,18 @@
 }
 
 /**
+ * `late`: a direct `run` of this attempt may still arrive, since the worker has not seen a token above the
+ * one that it carried; then absence proves nothing.
  * `underToken`: the worker has said that it saw our current token, so nothing of an earlier holder can
- * still reach it. Commands only ever travel in answers to reports, and a worker that sends a new report has
- * executed or dropped the answer to the one before: so a task missing from a newer report is not there, and
- * no `run` of it is under way.
+ * still reach it. Apart from direct ones, commands travel in answers to reports, and a worker that sends a new
+ * report has or dropped the answer to the one before: so a task missing from a newer report is not there, and no `run` of
+ * it is under way.
  */
 export const readChanges = (
   machine: ShareMachine,
   report: Report,
   underToken: boolean,
+  late: (key: string) => boolean,
 ): readonly Change[] => {
   const changes: Change[] = [];
   const newSession = machine.answeredAt !== null && report.session > machine.session;
@@ -27,8 +30,14 @@
   );
   for (const [key, binding] of machine.bound) {
     const task = reported.get(key);
+    // A direct answer may have overtaken this report.
+    const newer =
+      binding.seen !== null &&
+      (binding.seen.session > report.session ||
+        (binding.seen.session === report.session && binding.seen.seq > report.seq));
+    if (newer) continue;
     if (task) changes.push({ binding, event: { _tag: 'reported', state: task.state } });
-    else {
+    else if (newSession || !late(key)) {
       switch (binding.phase._tag) {
         case 'fetching':
         case 'waiting':
