--- a/src/constants.ts
+++ b/src/constants.ts
@@ -86,6 +86,10 @@
 export const IDLE_RETURN_S = 15;
 /** Nominal boot times for which an idle machine is held: about what a new one costs, in time and money. */
 export const IDLE_BOOTS = 1.5;
+/** Machines: so many idle ones of a kind are held that long by each share; it is gangs of a few tasks that wait. */
+export const HELD_IDLE = 2;
+/** Nominal boot times for which the others are held: a lull of half a boot is no reason to let go. */
+export const IDLE_BOOTS_MANY = 0.5;
 /** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
  *  worker waits 4 s, and its lease counts from when it sent the report. */
 export const ANSWER_WAIT_MS = 400;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,4 +1,4 @@
-import { HIRE_MAX } from '../constants.js';
+import { HIRE_MAX, TASKS_MAX } from '../constants.js';
 import { howMany, type Catalog, type Demand, type MachineType } from '../jobs/model.js';
 import type { Need, Summary } from './records.js';
 
@@ -26,7 +26,9 @@
   readonly type: MachineType;
   readonly zone: string;
   readonly spot: boolean;
+  /** Tasks of the need on one such machine, and how many it could hold. */
   readonly fits: number;
+  readonly whole: number;
   readonly cost: number;
 }
 
@@ -39,13 +41,14 @@
     if (need.types !== null && !need.types.includes(type.name)) continue;
     const fits = howMany(demand(need), type, need.tasks);
     if (fits === 0) continue;
+    const whole = howMany(demand(need), type, TASKS_MAX);
     for (const zone of type.zones) {
       if (need.zone !== null && need.zone !== zone) continue;
       // Work that may use spot machines is worth an ordinary one only to save a target.
       const kinds = !need.spot ? [false] : need.urgent ? [true, false] : [true];
       for (const spot of kinds) {
         if (input.refused(type.name, zone, spot)) continue;
-        list.push({ type, zone, spot, fits, cost: (spot ? type.spotPrice : type.price) / fits });
+        list.push({ type, zone, spot, fits, whole, cost: (spot ? type.spotPrice : type.price) / fits });
       }
     }
   }
@@ -105,7 +108,13 @@
       for (const offer of offers(need, input)) {
         if (missing <= 0) break;
         if (zone !== null && offer.zone !== zone) continue;
-        const count = Math.min(HIRE_MAX, Math.ceil(missing / offer.fits));
+        // An ordinary machine for work that could use spot is worth its price only when filled.
+        const filled = need.spot && !offer.spot;
+        const count = Math.min(
+          HIRE_MAX,
+          filled ? Math.floor(missing / offer.whole) : Math.ceil(missing / offer.fits),
+        );
+        if (count === 0) continue;
         steps.push({
           _tag: 'rent',
           shares: Array.from({ length: count }, () => share),
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -5,7 +5,9 @@
   CLOCK_DRIFT,
   FETCH_GUESS_S,
   FLUSH_MS,
+  HELD_IDLE,
   IDLE_BOOTS,
+  IDLE_BOOTS_MANY,
   IDLE_RETURN_S,
   JOB_BACKOFF_MAX_MS,
   JOB_BACKOFF_MS,
@@ -639,10 +641,20 @@
     );
   }
 
-  /** Holding an idle machine for about what a new one costs to bring up bounds the regret either way. */
+  /**
+   * Holding an idle machine for about what a new one costs to bring up bounds the regret either way. That is
+   * for the next gang or two; of many idle machines, those that have been so longest go sooner.
+   */
   private holdMs(machine: ShareMachine): number {
     const bootS = this.input.catalog()?.get(machine.type)?.bootS ?? 0;
-    return Math.max(IDLE_RETURN_S, bootS * IDLE_BOOTS) * 1000;
+    let fresher = 0;
+    for (const other of this.machines.values()) {
+      if (other === machine || other.releasing || other.type !== machine.type || other.spot !== machine.spot)
+        continue;
+      if (other.idleSince !== null && other.idleSince >= (machine.idleSince ?? 0)) fresher += 1;
+    }
+    const boots = fresher < HELD_IDLE ? IDLE_BOOTS : IDLE_BOOTS_MANY;
+    return Math.max(IDLE_RETURN_S, bootS * boots) * 1000;
   }
 
   /** Machines that have reported, and those that did within the last `ms`. */
