--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -1,6 +1,6 @@
 import * as Effect from 'effect/Effect';
 import { CLOUD_TIMEOUT_MS } from '../constants.js';
-import { Client, type Target } from '../http.js';
+import type { Caller, Callers, Target } from '../http.js';
 import type { MachineType } from '../jobs/model.js';
 import { Budget } from '../store/budget.js';
 
@@ -67,10 +67,10 @@
 };
 
 export class Cloud {
-  private readonly client: Client;
+  private readonly client: Caller;
   private readonly budget: Budget;
-  constructor(target: Target, rps: number, nodes: number, now: () => number) {
-    this.client = new Client(target, 4);
+  constructor(target: Target, rps: number, nodes: number, now: () => number, callers: Callers) {
+    this.client = callers(target, 4);
     // Only the leader calls regularly; the others read the catalog at their start.
     this.budget = new Budget(rps * (nodes > 1 ? 0.8 : 1), 0, CLOUD_TIMEOUT_MS, now);
   }
--- a/src/http.ts
+++ b/src/http.ts
@@ -23,7 +23,13 @@
   return { host: text.slice(0, cut), port: Number(text.slice(cut + 1)) };
 };
 
-export class Client {
+/** Whatever carries requests to one address. */
+export interface Caller {
+  request(method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer>;
+}
+export type Callers = (target: Target, sockets: number) => Caller;
+
+export class Client implements Caller {
   private readonly agent: http.Agent;
   constructor(
     private readonly target: Target,
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -2,7 +2,7 @@
 import { BEAT_FRESH_MS, BEAT_MS, MESH_TIMEOUT_MS, SOCKETS_MESH } from '../constants.js';
 import type { Sibling } from '../claims/decide.js';
 import type { Summary } from '../fleet/records.js';
-import { Client, parseTarget, type Call, type Reply } from '../http.js';
+import { parseTarget, type Call, type Caller, type Callers, type Reply } from '../http.js';
 
 /** What the service's own processes say to each other: MessagePack over HTTP, on the mesh address. */
 export interface Beat {
@@ -28,18 +28,19 @@
   readonly siblings: readonly { readonly host_name: string; readonly endpoint: string }[];
   readonly beat: () => Beat;
   readonly now: () => number;
+  readonly callers: Callers;
   /** Answers a sibling's request that is not a beat. */
   readonly answer: (path: string, body: unknown) => Promise<unknown>;
 }
 
 export class Mesh {
-  private readonly clients = new Map<string, Client>();
+  private readonly clients = new Map<string, Caller>();
   private readonly known = new Map<string, Known>();
   private wake: (() => void) | null = null;
 
   constructor(private readonly input: MeshInput) {
     for (const sibling of input.siblings) {
-      this.clients.set(sibling.host_name, new Client(parseTarget(sibling.endpoint), SOCKETS_MESH));
+      this.clients.set(sibling.host_name, input.callers(parseTarget(sibling.endpoint), SOCKETS_MESH));
     }
   }
 
--- /dev/null
+++ b/src/service.test.ts
@@ -0,0 +1,307 @@
+import assert from 'node:assert/strict';
+import { mock, test } from 'node:test';
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import type { Answer, Call, Reply } from './http.js';
+import { compose, type Controller } from './service.js';
+import type { Settings } from './settings/schema.js';
+import { Luck, World, type StandInJob } from './testing/world.js';
+import { readReport } from './workers/codec.js';
+
+/** The service's main path, end to end, against our stand-ins: loss, delay, restarts; one seed, virtual time. */
+const NODES = ['n0', 'n1', 'n2'] as const;
+const STEP_MS = 20;
+const CANCEL_MS = 40_000;
+const LIMITS = new Map([
+  ['red', 24],
+  ['blue', 16],
+]);
+
+const settingsOf = (name: string): Settings => ({
+  host_name: name,
+  area: 'x',
+  api_addr: `${name}:1`,
+  mesh_addr: `${name}:2`,
+  siblings: NODES.filter((node) => node !== name).map((node) => ({
+    host_name: node,
+    area: 'x',
+    endpoint: `mesh-${node}:2`,
+  })),
+  services: { cloud: 'cloud:1', state: 'state:1' },
+  facts: {
+    count: 3,
+    zones: ['x', 'y'],
+    teams: [...LIMITS].map(([team, gpus]) => ({ name: team, cpus: 0, cpus_max: 0, gpus: 8, gpus_max: gpus })),
+    objectives: [],
+    workers: { report_s: 3, lease_s: 15, gang_wait_s: 30, gang_peer_s: 4, cancel_s: CANCEL_MS / 1000 },
+    state: { rps: 300, write_rps: 150, value_kb: 16, txn_ops: 32 },
+    cloud: { rps: 4, list_lag_s: 5 },
+    quota: { core_share: 1, ram_mb: 300, fd_limit: 1000 },
+    clock_error_ms: 10,
+  },
+});
+
+const callOf = (method: string, path: string, body: unknown): Call => ({
+  method,
+  path,
+  query: new URLSearchParams(),
+  body: body === undefined ? { _tag: 'empty' } : { _tag: 'value', value: body },
+});
+const answerOf = (reply: Reply): Answer => ({ _tag: 'answer', status: reply.status, body: reply.body ?? {} });
+
+class Cluster {
+  private readonly running = new Map<
+    string,
+    { controller: Controller; fiber: Fiber.Fiber<unknown>; alive: { yes: boolean } }
+  >();
+  private incarnation = 0;
+  constructor(private readonly world: World) {}
+
+  up(name: string): void {
+    this.incarnation += 1;
+    const alive = { yes: true };
+    const never = new Promise<never>(() => undefined);
+    const controller = compose(settingsOf(name), {
+      now: () => Date.now(),
+      wall: () => Date.now(),
+      incarnation: `${name}.${this.incarnation}`,
+      callers: (target) => ({
+        request: (method, path, body, timeoutMs) =>
+          alive.yes
+            ? this.world
+                .call(name, target.host, method, path, body, timeoutMs)
+                .then((answer) => (alive.yes ? answer : never))
+            : never,
+      }),
+      line: {
+        send: async (addr, token, session, commands) => {
+          const calls = commands.map((command) => ({
+            call: command._tag,
+            head: `${command.job}/${command.index}`,
+            try: command.attempt,
+          }));
+          const answer = await this.world.call(
+            name,
+            addr.slice(0, addr.lastIndexOf(':')),
+            'POST',
+            '/commands',
+            { crook: token, stint: session, calls },
+            1_500,
+          );
+          if (answer._tag === 'silence') return { _tag: 'unsure' };
+          const report = readReport(answer.body);
+          return answer.status === 200 && report ? { _tag: 'executed', report } : { _tag: 'refused', report };
+        },
+      },
+    });
+    const fiber = Effect.runFork(controller.run);
+    this.running.set(name, { controller, fiber, alive });
+    this.world.attach(name, async (method, path, body) =>
+      answerOf(await controller.route(callOf(method, path, body))),
+    );
+    this.world.attach(`mesh-${name}`, async (method, path, body) =>
+      answerOf(await controller.mesh(callOf(method, path, body))),
+    );
+  }
+
+  down(name: string): void {
+    const held = this.running.get(name);
+    if (!held) return;
+    held.alive.yes = false;
+    held.controller.stop();
+    Effect.runFork(Fiber.interrupt(held.fiber));
+    this.running.delete(name);
+    this.world.detach(name);
+    this.world.detach(`mesh-${name}`);
+  }
+}
+
+const tick = async (): Promise<void> => {
+  for (let k = 0; k < 6; k += 1) await new Promise((resolve) => setImmediate(resolve));
+};
+
+const jobOf = (n: number, over: Partial<Record<string, unknown>>, runMs: number): StandInJob => {
+  const body: Record<string, unknown> = {
+    uid: `job-${String(n).padStart(6, '0')}`,
+    herd: 'c',
+    owner: 'red',
+    shape: 'sweep',
+    urgency: 'standard',
+    heads: 4,
+    vcpus: 8,
+    accelerators: 1,
+    memoryGb: 8,
+    brand: `img-${n % 3}`,
+    sizeGb: 1,
+    breeds: null,
+    paddock: null,
+    together: false,
+    scatter: false,
+    agistment: false,
+    expectedS: runMs / 1000,
+    musterEveryS: 0,
+    musterS: 0,
+    dueS: null,
+    ...over,
+  };
+  return {
+    body,
+    id: body['uid'] as string,
+    team: body['owner'] as string,
+    gang: body['shape'] === 'group',
+    oneZone: body['together'] as boolean,
+    tasks: body['heads'] as number,
+    gpus: body['accelerators'] as number,
+    cpus: body['vcpus'] as number,
+    memoryGb: body['memoryGb'] as number,
+    runMs,
+    accepted: false,
+    cancelledAt: null,
+    doneTold: false,
+  };
+};
+
+type Trouble = (world: World, cluster: Cluster) => void;
+const days: readonly {
+  name: string;
+  seed: number;
+  loss: number;
+  troubles: readonly (readonly [number, Trouble])[];
+}[] = [
+  { name: 'a quiet day', seed: 1, loss: 0, troubles: [] },
+  { name: 'messages lost, and some delivered long after', seed: 2, loss: 0.01, troubles: [] },
+  {
+    name: 'one controller killed and back at once, then all three',
+    seed: 3,
+    loss: 0.002,
+    troubles: [
+      [15, (_, cluster) => cluster.down('n0')],
+      [15.3, (_, cluster) => cluster.up('n0')],
+      [30, (_, cluster) => NODES.forEach((node) => cluster.down(node))],
+      [33, (_, cluster) => NODES.forEach((node) => cluster.up(node))],
+    ],
+  },
+  {
+    name: 'a state outage longer than a lease, a controller refused by the state alone, machines dying',
+    seed: 4,
+    loss: 0.002,
+    troubles: [
+      [20, (world) => world.state.outage(true)],
+      [40, (world) => world.state.outage(false)],
+      [50, (world) => world.state.refused.add('n1')],
+      [
+        55,
+        (world) =>
+          [...world.machines.values()]
+            .filter((machine) => !machine.dead)
+            .slice(0, 2)
+            .forEach((machine) => world.kill(machine.id)),
+      ],
+      [75, (world) => world.state.refused.delete('n1')],
+      [
+        80,
+        (world) =>
+          [...world.machines.values()]
+            .filter((machine) => !machine.dead)
+            .slice(0, 2)
+            .forEach((machine) => (machine.cut = true)),
+      ],
+      [110, (world) => world.machines.forEach((machine) => (machine.cut = false))],
+    ],
+  },
+];
+
+for (const day of days) {
+  test(`service: ${day.name}`, { timeout: 120_000 }, async () => {
+    mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_700_000_000_000 });
+    const world = new World(NODES, new Luck(day.seed), 15_000, 3_000, LIMITS, CANCEL_MS);
+    const cluster = new Cluster(world);
+    try {
+      const begin = Date.now();
+      NODES.forEach((node) => cluster.up(node));
+      for (let k = 0; k < 4; k += 1) world.boot(k % 2 === 0 ? 'x' : 'y', false, 100);
+      world.loss = day.loss;
+
+      const jobs: StandInJob[] = [];
+      for (let n = 0; n < 16; n += 1) {
+        if (n % 4 === 1)
+          jobs.push(
+            jobOf(
+              n,
+              { shape: 'group', heads: 2, accelerators: 8, vcpus: 60, together: true, owner: 'red' },
+              8_000,
+            ),
+          );
+        else if (n % 4 === 3) jobs.push(jobOf(n, { owner: 'blue', heads: 7, agistment: true }, 6_000));
+        else jobs.push(jobOf(n, { heads: 1 + (n % 5) }, 3_000 + 900 * n));
+      }
+      /** Users: submit until accepted, poll until done; one cancels. */
+      const user = async (job: StandInJob, order: number): Promise<void> => {
+        await new Promise((resolve) => setTimeout(resolve, 3_000 + order * 2_500));
+        const ask = (method: string, path: string, body?: unknown): Promise<Answer> =>
+          world.call('user', NODES[world.luck.below(3)] ?? 'n0', method, path, body, 2_000);
+        world.jobs.set(job.id, job);
+        for (;;) {
+          const answer = await ask('POST', '/v2/runs', job.body);
+          if (answer._tag === 'answer' && (answer.status === 201 || answer.status === 200)) break;
+          if (answer._tag === 'answer' && answer.status < 500)
+            world.broken.push(`refused ${job.id} ${answer.status}`);
+          await new Promise((resolve) => setTimeout(resolve, 1_000));
+        }
+        job.accepted = true;
+        if (order === 6) {
+          await new Promise((resolve) => setTimeout(resolve, 6_000));
+          for (;;) {
+            const answer = await ask('POST', `/v2/runs/${job.id}/abort`);
+            if (answer._tag === 'answer' && answer.status === 200) {
+              if ((answer.body as { status: string }).status === 'withdrawn') job.cancelledAt = Date.now();
+              break;
+            }
+            await new Promise((resolve) => setTimeout(resolve, 1_000));
+          }
+        }
+        for (;;) {
+          const answer = await ask('GET', `/v2/runs/${job.id}`);
+          if (answer._tag === 'answer' && answer.status === 404) world.broken.push(`forgotten ${job.id}`);
+          if (answer._tag === 'answer' && answer.status === 200) {
+            const { status } = answer.body as { status: string };
+            if (status === 'done' && !world.allDone(job)) world.broken.push(`not_done ${job.id}`);
+            if (job.cancelledAt !== null && status !== 'withdrawn')
+              world.broken.push(`went_back ${job.id} ${status}`);
+            if (job.cancelledAt === null && status === 'withdrawn')
+              world.broken.push(`went_back ${job.id} ${status}`);
+            if (status === 'done' || status === 'withdrawn') {
+              job.doneTold = true;
+              return;
+            }
+          }
+          await new Promise((resolve) => setTimeout(resolve, 2_000));
+        }
+      };
+      jobs.forEach((job, order) => void user(job, order));
+
+      const troubles = [...day.troubles];
+      const end = begin + 400_000;
+      while (Date.now() < end && !jobs.every((job) => job.doneTold)) {
+        mock.timers.tick(STEP_MS);
+        await tick();
+        world.step();
+        while (troubles[0] && Date.now() - begin >= troubles[0][0] * 1000)
+          troubles.shift()?.[1](world, cluster);
+      }
+      assert.deepEqual(world.broken, []);
+      assert.deepEqual(
+        jobs.filter((job) => !job.doneTold).map((job) => job.id),
+        [],
+        'every job is over and its user told',
+      );
+      assert.ok(
+        world.starts.length >= jobs.reduce((sum, job) => sum + (job.cancelledAt === null ? job.tasks : 0), 0),
+      );
+      assert.equal(troubles.length, 0, 'the day was long enough for its troubles');
+    } finally {
+      NODES.forEach((node) => cluster.down(node));
+      mock.timers.reset();
+    }
+  });
+}
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import * as Cause from 'effect/Cause';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
@@ -15,7 +16,7 @@
 import { Cloud } from './fleet/cloud.js';
 import { Leader, readCatalog } from './fleet/leader.js';
 import type { Summary } from './fleet/records.js';
-import { parseTarget, serve, type Call, type Reply } from './http.js';
+import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
 import { UsersApi } from './jobs/api.js';
 import type { Catalog } from './jobs/model.js';
 import { log } from './log.js';
@@ -27,17 +28,35 @@
 import { Store } from './store/client.js';
 import { CATALOG_KEY, claimKey } from './store/keys.js';
 import { Mirror } from './store/mirror.js';
-import { Line } from './workers/line.js';
+import { Line, type DirectLine } from './workers/line.js';
 import { Desk } from './workers/desk.js';
 
+/** What a controller needs of the world outside; tests put stand-ins here. */
+export interface Ports {
+  /** ms, steady. */
+  readonly now: () => number;
+  /** ms since the epoch. */
+  readonly wall: () => number;
+  /** Differs for every process that ever runs as this node. */
+  readonly incarnation: string;
+  readonly callers: Callers;
+  readonly line: DirectLine;
+}
+
+export interface Controller {
+  /** Users, workers and health checks. */
+  readonly route: (call: Call) => Promise<Reply>;
+  /** The other controllers. */
+  readonly mesh: (call: Call) => Promise<Reply>;
+  readonly run: Effect.Effect<unknown>;
+  /** Ends what runs beside `run`. */
+  readonly stop: () => void;
+}
+
 /** Composes the slices of one controller. */
-export const start = async (settings: Settings): Promise<void> => {
-  const now = (): number => performance.now();
-  const wall = (): number => Date.now();
-  const me = {
-    node: settings.host_name,
-    incarnation: `${process.pid}-${Date.now()}-${Math.trunc(Math.random() * 1e9)}`,
-  };
+export const compose = (settings: Settings, ports: Ports): Controller => {
+  const { now, wall, line, callers } = ports;
+  const me = { node: settings.host_name, incarnation: ports.incarnation };
   const { facts } = settings;
   const nodes = nodeNames(settings);
   const slots = facts.count;
@@ -49,10 +68,14 @@
 
   const objectives = readObjectives(facts.objectives);
 
-  const store = new Store(parseTarget(settings.services.state), { ...facts.state, nodes: nodes.length }, now);
+  const store = new Store(
+    parseTarget(settings.services.state),
+    { ...facts.state, nodes: nodes.length },
+    now,
+    callers,
+  );
   const mirror = new Mirror(store);
-  const line = new Line();
-  const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now);
+  const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now, callers);
 
   let catalogVersion = 0;
   let catalogValue: Catalog | null = null;
@@ -72,6 +95,7 @@
     me: me.node,
     siblings: settings.siblings,
     now,
+    callers,
     beat: () => ({
       from: me.node,
       incarnation: me.incarnation,
@@ -266,20 +290,10 @@
     return Promise.resolve({ status: 404 });
   };
 
-  const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
-  const connections = Math.floor(facts.quota.fd_limit * SOCKETS_IN);
-  await serve(parseTarget(settings.api_addr), connections, BODY_MAX_BYTES, route, failed);
-  await serve(
-    parseTarget(settings.mesh_addr),
-    nodes.length * 16,
-    ANSWER_MAX_BYTES,
-    (call) => mesh.handle(call),
-    failed,
-  );
-  log.info({ event: 'service.started', node: me.node, zone: settings.area, slots });
-
-  await Effect.runPromise(
-    Effect.all(
+  return {
+    route,
+    mesh: (call) => mesh.handle(call),
+    run: Effect.all(
       [
         supervise('mirror', mirror.run),
         supervise('claims', keeper.run),
@@ -288,7 +302,41 @@
       ],
       { concurrency: 'unbounded' },
     ),
+    stop: () => {
+      for (const { share, fiber } of shares.values()) {
+        share.lose();
+        Effect.runFork(Fiber.interrupt(fiber));
+      }
+    },
+  };
+};
+
+/** Runs one controller as this process. */
+export const start = async (settings: Settings): Promise<void> => {
+  const controller = compose(settings, {
+    now: () => performance.now(),
+    wall: () => Date.now(),
+    incarnation: randomUUID(),
+    callers: (target, sockets) => new Client(target, sockets),
+    line: new Line(),
+  });
+  const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
+  const connections = Math.floor(settings.facts.quota.fd_limit * SOCKETS_IN);
+  await serve(parseTarget(settings.api_addr), connections, BODY_MAX_BYTES, controller.route, failed);
+  await serve(
+    parseTarget(settings.mesh_addr),
+    (settings.siblings.length + 1) * 16,
+    ANSWER_MAX_BYTES,
+    controller.mesh,
+    failed,
   );
+  log.info({
+    event: 'service.started',
+    node: settings.host_name,
+    zone: settings.area,
+    slots: settings.facts.count,
+  });
+  await Effect.runPromise(controller.run);
 };
 
 /** A slice that fails by a defect is started again: one broken decision must not end the process. */
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -8,7 +8,7 @@
   STORE_TIMEOUT_MS,
   WATCH_MS,
 } from '../constants.js';
-import { Client, type Answer, type Target } from '../http.js';
+import type { Answer, Caller, Callers, Target } from '../http.js';
 import { Budget, type Rank } from './budget.js';
 
 /** The one module that speaks to the state service. */
@@ -68,9 +68,9 @@
 const why = (answer: Answer): string => (answer._tag === 'silence' ? answer.why : `status ${answer.status}`);
 
 export class Store {
-  private readonly calls: Client;
-  private readonly watches: Client;
-  private readonly leases: Client;
+  private readonly calls: Caller;
+  private readonly watches: Caller;
+  private readonly leases: Caller;
   readonly requests: Budget;
   readonly changes: Budget;
   /** When the service last answered anything but 503 here. */
@@ -80,10 +80,11 @@
     target: Target,
     limits: { rps: number; write_rps: number; txn_ops: number; nodes: number },
     private readonly now: () => number,
+    callers: Callers,
   ) {
-    this.calls = new Client(target, 12);
-    this.watches = new Client(target, 4);
-    this.leases = new Client(target, 2);
+    this.calls = callers(target, 12);
+    this.watches = callers(target, 4);
+    this.leases = callers(target, 2);
     this.requests = new Budget(limits.rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
     this.changes = new Budget(limits.write_rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
     this.txnOps = limits.txn_ops;
@@ -95,7 +96,7 @@
     return answer;
   }
 
-  private async call(rank: Rank, client: Client, method: string, path: string, body: unknown, ms: number) {
+  private async call(rank: Rank, client: Caller, method: string, path: string, body: unknown, ms: number) {
     if (!(await this.requests.take(1, rank))) return null;
     return this.seen(await client.request(method, path, body, ms));
   }
--- a/src/workers/line.ts
+++ b/src/workers/line.ts
@@ -12,7 +12,12 @@
   /** May have been carried out, or may be as long as token and session match. */
   | { readonly _tag: 'unsure' };
 
-export class Line {
+/** Sends commands to the worker at an address. */
+export interface DirectLine {
+  send(addr: string, token: number, session: number, commands: readonly Command[]): Promise<DirectResult>;
+}
+
+export class Line implements DirectLine {
   private readonly agent = new http.Agent({
     keepAlive: true,
     maxSockets: 1,
