--- /dev/null
+++ b/src/workers/react.test.ts
@@ -0,0 +1,264 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Binding, ShareMachine } from '../placement/state.js';
+import { bindingKey } from '../placement/state.js';
+import { nextPhase, type Phase } from '../placement/task.js';
+import type { Report, ReportedTask, TaskState } from './model.js';
+import { answer, readChanges } from './react.js';
+import { readReport } from './codec.js';
+
+const bindingOf = (phase: Phase, over: Partial<Binding> = {}): Binding => ({
+  job: 'job-1',
+  index: 0,
+  attempt: 3,
+  machine: 'i-1',
+  phase,
+  stop: null,
+  seen: null,
+  boundAt: 0,
+  runningAt: null,
+  ...over,
+});
+const machineOf = (binding: Binding | null): ShareMachine => ({
+  id: 'i-1',
+  type: 'g',
+  zone: 'x',
+  spot: false,
+  version: 5,
+  since: 0,
+  releasing: false,
+  cordoned: false,
+  addr: 'a:1',
+  session: 1,
+  seq: 10,
+  confirmedToken: 9,
+  takenAt: 0,
+  answeredAt: 0,
+  noticeAt: null,
+  noticeS: null,
+  unsureRuns: new Map(),
+  raiseToken: false,
+  answering: 0,
+  reported: [],
+  bound: new Map(binding ? [[bindingKey(binding.job, binding.index, binding.attempt), binding]] : []),
+  images: new Set(),
+  health: { _tag: 'fine' },
+  idleSince: null,
+  total: { cpus: 1, gpus: 1, memoryGb: 1 },
+});
+const task = (state: TaskState, attempt = 3): ReportedTask => ({ job: 'job-1', index: 0, attempt, state });
+const reportOf = (tasks: readonly ReportedTask[], over: Partial<Report> = {}): Report => ({
+  machine: 'i-1',
+  addr: 'a:1',
+  type: 'g',
+  zone: 'x',
+  spot: false,
+  session: 1,
+  seq: 11,
+  token: 9,
+  noticeS: null,
+  tasks,
+  ...over,
+});
+
+const evidence: readonly {
+  name: string;
+  phase: Phase;
+  stop?: boolean;
+  seenSeq?: number;
+  report: Report;
+  late?: boolean;
+  token?: boolean;
+  to: string;
+}[] = [
+  {
+    name: 'an exit is evidence',
+    phase: { _tag: 'running' },
+    report: reportOf([task({ _tag: 'exited', cause: 'done', saved: false })]),
+    to: 'gone',
+  },
+  {
+    name: 'a newer report without a task that was there, under our token',
+    phase: { _tag: 'running' },
+    report: reportOf([]),
+    to: 'gone',
+  },
+  {
+    name: 'the same under an older token proves nothing: a command of an earlier holder may arrive',
+    phase: { _tag: 'running' },
+    report: reportOf([], { token: 8 }),
+    token: false,
+    to: 'running',
+  },
+  {
+    name: 'a new session is evidence whatever the token',
+    phase: { _tag: 'running' },
+    report: reportOf([], { session: 2, seq: 1, token: 8 }),
+    token: false,
+    to: 'gone',
+  },
+  {
+    name: 'a bound task that is absent may not have arrived yet',
+    phase: { _tag: 'bound' },
+    report: reportOf([]),
+    to: 'bound',
+  },
+  {
+    name: 'a bound task to be stopped that is absent is gone',
+    phase: { _tag: 'bound' },
+    stop: true,
+    report: reportOf([]),
+    to: 'gone',
+  },
+  {
+    name: 'but not while a direct run of it may still arrive',
+    phase: { _tag: 'bound' },
+    stop: true,
+    report: reportOf([]),
+    late: true,
+    to: 'bound',
+  },
+  {
+    name: 'a report overtaken by a direct answer proves nothing',
+    phase: { _tag: 'running' },
+    seenSeq: 12,
+    report: reportOf([]),
+    to: 'running',
+  },
+  {
+    name: 'nothing is concluded about a bind that is not durable',
+    phase: { _tag: 'binding' },
+    stop: true,
+    report: reportOf([]),
+    to: 'binding',
+  },
+  {
+    name: 'another attempt on the machine is not this one',
+    phase: { _tag: 'bound' },
+    report: reportOf([task({ _tag: 'running' }, 2)]),
+    to: 'bound',
+  },
+];
+for (const row of evidence) {
+  test(`evidence: ${row.name}`, () => {
+    const binding = bindingOf(row.phase, {
+      stop: row.stop ? { reason: 'cancelled', graceS: 0, since: 0 } : null,
+      seen: row.seenSeq === undefined ? null : { session: 1, seq: row.seenSeq },
+    });
+    const changes = readChanges(machineOf(binding), row.report, row.token ?? true, () => row.late ?? false);
+    const after = changes.reduce((phase, change) => nextPhase(phase, change.event), binding.phase);
+    assert.equal(after._tag, row.to);
+  });
+}
+
+const answers: readonly {
+  name: string;
+  binding: Binding | null;
+  report: Report;
+  settled?: boolean;
+  token?: boolean;
+  now?: number;
+  expect: readonly string[];
+}[] = [
+  {
+    name: 'a durable bind that is not there yet is started',
+    binding: bindingOf({ _tag: 'bound' }),
+    report: reportOf([]),
+    expect: ['run 3'],
+  },
+  {
+    name: 'a bind that is not durable is not',
+    binding: bindingOf({ _tag: 'binding' }),
+    report: reportOf([]),
+    expect: [],
+  },
+  {
+    name: 'a task that is not bound here is stopped',
+    binding: null,
+    report: reportOf([task({ _tag: 'running' })]),
+    expect: ['stop 3 0'],
+  },
+  {
+    name: 'an older attempt is stopped beside the bound one',
+    binding: bindingOf({ _tag: 'bound' }),
+    report: reportOf([task({ _tag: 'running' }, 2)]),
+    expect: ['stop 2 0', 'run 3'],
+  },
+  {
+    name: 'an exit that the state still binds is kept',
+    binding: null,
+    report: reportOf([task({ _tag: 'exited', cause: 'done', saved: false })]),
+    settled: false,
+    expect: [],
+  },
+  {
+    name: 'a settled exit is forgotten',
+    binding: null,
+    report: reportOf([task({ _tag: 'exited', cause: 'done', saved: false })]),
+    expect: ['forget 3'],
+  },
+  {
+    name: 'but only by the token in force',
+    binding: null,
+    report: reportOf([task({ _tag: 'exited', cause: 'done', saved: false })]),
+    token: false,
+    expect: [],
+  },
+  {
+    name: 'a stop with grace is not repeated while the task saves',
+    binding: bindingOf({ _tag: 'saving' }, { stop: { reason: 'draining', graceS: 5, since: 0 } }),
+    report: reportOf([task({ _tag: 'saving' })]),
+    now: 4_000,
+    expect: [],
+  },
+  {
+    name: 'a task that overstays its grace is ended',
+    binding: bindingOf({ _tag: 'saving' }, { stop: { reason: 'draining', graceS: 5, since: 0 } }),
+    report: reportOf([task({ _tag: 'saving' })]),
+    now: 60_000,
+    expect: ['stop 3 0'],
+  },
+];
+for (const row of answers) {
+  test(`answer: ${row.name}`, () => {
+    const commands = answer(
+      machineOf(row.binding),
+      row.report,
+      row.token ?? true,
+      () => row.settled ?? true,
+      row.now ?? 0,
+    );
+    assert.deepEqual(
+      commands.map((command) =>
+        [command._tag, command.attempt, ...(command._tag === 'stop' ? [command.graceS] : [])].join(' '),
+      ),
+      row.expect,
+    );
+  });
+}
+
+const hello = {
+  drover: 'i-1',
+  addr: 'a:1',
+  breed: 'g',
+  paddock: 'x',
+  agistment: true,
+  stint: 1,
+  tally: 2,
+  crook: 3,
+  heads: [{ head: 'job-1/0', try: 1, status: 'exited', cause: 'no_room' }],
+};
+const reports: readonly { name: string; value: unknown; expect: unknown }[] = [
+  { name: 'a refused start', value: hello, expect: { _tag: 'exited', cause: 'noRoom', saved: false } },
+  {
+    name: 'a state we do not know occupies its machine',
+    value: { ...hello, heads: [{ head: 'job-1/0', try: 1, status: 'dreaming' }] },
+    expect: { _tag: 'running' },
+  },
+  { name: 'a missing session is malformed', value: { ...hello, stint: undefined }, expect: null },
+  { name: 'not a map', value: [1], expect: null },
+];
+for (const row of reports) {
+  test(`report: ${row.name}`, () =>
+    assert.deepEqual(readReport(row.value)?.tasks[0]?.state ?? null, row.expect));
+}
