--- a/src/constants.ts
+++ b/src/constants.ts
@@ -72,6 +72,9 @@
 export const PLACE_TICK_MS = 250;
 /** ms: after a takeover, placement waits at most this long for the share's machines to report. */
 export const REBUILD_MS = 4_500;
+/** ms: a job waits this long for free machines of other shares before groups are evicted for it: one beat
+ *  and one move, with some to spare. */
+export const EVICT_AFTER_MS = 2_500;
 /** ms: pause between writes of finished tasks, so that they share transactions. */
 export const FLUSH_MS = 400;
 /** Fraction of the node's change budget that binding and flushing may use in one round. */
@@ -82,6 +85,12 @@
 export const BOOT_FACTOR = 2.5;
 /** s: added to that, for machines with very short boot times. */
 export const BOOT_SLACK_S = 20;
+/** Factor and s: within so many nominal boot times, and this for its first report, a machine usually is up
+ *  (1.5 is the usual bound); later ones are no longer planned on, so a replacement is rented. */
+export const BOOT_USUAL = 1.6;
+export const BOOT_USUAL_S = 5;
+/** ms: a spot machine silent for this long, three reports, is taken to have been taken back. */
+export const SPOT_SILENT_MS = 10_000;
 /** s: no idle machine goes back sooner, however fast it boots: reports and moves take some seconds. */
 export const IDLE_RETURN_S = 15;
 /** Nominal boot times for which an idle machine is held: about what a new one costs, in time and money. */
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -2,7 +2,10 @@
 import {
   BOOT_FACTOR,
   BOOT_SLACK_S,
+  BOOT_USUAL,
+  BOOT_USUAL_S,
   CLOCK_DRIFT,
+  EVICT_AFTER_MS,
   FETCH_GUESS_S,
   FLUSH_MS,
   HELD_IDLE,
@@ -17,6 +20,7 @@
   REBUILD_MS,
   RESERVED_IDLE,
   SETTLE_EXTRA_S,
+  SPOT_SILENT_MS,
   STORE_RETRY_MS,
   SUSPECT_MS,
   TXN_BYTES,
@@ -46,6 +50,7 @@
 import type { Command, Report } from '../workers/model.js';
 import type { DirectResult } from '../workers/line.js';
 import { answer, readChanges } from '../workers/react.js';
+import { chooseVictims, type Occupied } from './evict.js';
 import { classOf, order, packAll, type Ask, type Limit, type Room, type Use } from './pack.js';
 import {
   chunkOf,
@@ -79,6 +84,8 @@
   readonly workers: { readonly lease_s: number; readonly gang_peer_s: number };
   /** May this node act for the share now, under this very claim? */
   readonly entitled: () => boolean;
+  /** Has another share a free machine that would do for this job? */
+  readonly spareElsewhere: (slot: number, spec: JobSpec) => boolean;
   readonly now: () => number;
   /** ms since the epoch; only for ages of jobs and machines, never for leases. */
   readonly wall: () => number;
@@ -683,6 +690,27 @@
     );
   }
 
+  /** Still within the time in which a machine usually comes up: its room counts as coming. */
+  private expected(machine: ShareMachine): boolean {
+    const bootS = this.input.catalog()?.get(machine.type)?.bootS ?? 0;
+    return (
+      this.booting(machine) && this.input.wall() - machine.since < (bootS * BOOT_USUAL + BOOT_USUAL_S) * 1000
+    );
+  }
+
+  /**
+   * A spot machine that stopped reporting was most likely taken back without notice. Releasing it is proof that
+   * its tasks are gone, long before its lease would be; if it was only cut off, little is lost. Not while this
+   * node hears few of its machines, which speaks for a fault of its own.
+   */
+  private surelyTaken(machine: ShareMachine): boolean {
+    if (!machine.spot || machine.answeredAt === null) return false;
+    const now = this.input.now();
+    if (now - machine.answeredAt < SPOT_SILENT_MS || now - this.loadedAt < SPOT_SILENT_MS * 2) return false;
+    const { machines, heard } = this.hearing(SPOT_SILENT_MS);
+    return heard * 2 >= machines;
+  }
+
   /** The full lease, with drift, that this holder must see pass after its last answer. */
   private get leaseMs(): number {
     return this.input.workers.lease_s * 1000 * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
@@ -722,7 +750,7 @@
     if (machine.answeredAt === null) {
       return this.silent(machine) && !this.booting(machine);
     }
-    if (this.silent(machine)) return true;
+    if (this.silent(machine) || this.surelyTaken(machine)) return true;
     if (machine.health._tag === 'sick' && machine.bound.size === 0) return true;
     return (
       this.stage === 'placing' &&
@@ -1002,7 +1030,7 @@
         continue;
       const live =
         machine.confirmedToken !== 0 && this.input.now() - (machine.answeredAt ?? 0) < this.leaseMs / 2;
-      if (!live && !this.booting(machine)) continue;
+      if (!live && !this.expected(machine)) continue;
       const free = { cpus: machine.total.cpus, gpus: machine.total.gpus, memoryGb: machine.total.memoryGb };
       const subtract = (jobId: string): boolean => {
         const spec = this.jobs.get(jobId)?.spec;
@@ -1149,6 +1177,7 @@
         job.bindings.set(put.index, binding);
         machine.bound.set(bindingKey(put.job, put.index, binding.attempt), binding);
       }
+      this.evict(packed.left, rooms);
       this.plan(packed.left, rooms, uses);
       let batch: { write: ChunkWrite; bindings: Binding[] }[] = [];
       let bytes = 0;
@@ -1189,6 +1218,70 @@
     });
   }
 
+  /**
+   * Whole groups of lower priority go when nothing else helps: no room here, no free machine in another share
+   * that would do, and nothing already on its way out. One job a round, and only if it can start for it.
+   */
+  private evict(left: readonly { ask: Ask; count: number }[], rooms: readonly Room[]): void {
+    const now = this.input.now();
+    for (const machine of this.machines.values()) {
+      for (const binding of machine.bound.values()) if (binding.stop?.reason === 'evicted') return;
+    }
+    for (const { ask, count } of left) {
+      const { spec } = ask;
+      if (spec.priority === 0 || this.input.wall() - ask.at < EVICT_AFTER_MS) continue;
+      if (this.input.spareElsewhere(this.slot, spec)) continue;
+      const occupied: Occupied[] = [];
+      for (const room of rooms) {
+        const machine = this.machines.get(room.id);
+        if (!machine || !room.live || ask.failedOn.has(room.id)) continue;
+        const groups = new Map<string, { binding: Binding; job: ShareJob; tasks: number }>();
+        for (const binding of machine.bound.values()) {
+          const job = this.jobs.get(binding.job);
+          if (!job || binding.stop) continue;
+          const known = groups.get(binding.job);
+          groups.set(binding.job, { binding, job, tasks: (known?.tasks ?? 0) + 1 });
+        }
+        occupied.push({
+          id: room.id,
+          type: room.type,
+          zone: room.zone,
+          spot: room.spot,
+          free: room.free,
+          groups: [...groups.values()]
+            // What ends before it could be stopped is not worth stopping.
+            .filter(({ binding, job }) => {
+              const leftS = job.spec.estimateS - (now - (binding.runningAt ?? now)) / 1000;
+              return leftS > this.graceOf(job) || leftS < -job.spec.estimateS;
+            })
+            .map(({ job, tasks }) => ({
+              job: job.spec.id,
+              priority: job.spec.priority,
+              gang: job.spec.kind === 'gang',
+              tasks,
+              demand: {
+                cpus: job.spec.cpus * tasks,
+                gpus: job.spec.gpus * tasks,
+                memoryGb: job.spec.memoryGb * tasks,
+              },
+            })),
+        });
+      }
+      const victims = chooseVictims(spec, count, occupied);
+      if (victims.length === 0) continue;
+      for (const victim of victims) {
+        const job = this.jobs.get(victim.job);
+        if (!job) continue;
+        log.info({ event: 'group.evicted', job: victim.job, machine: victim.machine, for: ask.job });
+        for (const binding of job.bindings.values()) {
+          if (job.spec.kind === 'gang' || binding.machine === victim.machine)
+            this.stop(binding, 'evicted', this.graceOf(job));
+        }
+      }
+      return;
+    }
+  }
+
   /** Takes back a bind that surely was not carried out. */
   private unbind(binding: Binding): void {
     this.machines.get(binding.machine)?.bound.delete(bindingKey(binding.job, binding.index, binding.attempt));
--- a/src/service.ts
+++ b/src/service.ts
@@ -18,7 +18,7 @@
 import type { Summary } from './fleet/records.js';
 import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
 import { UsersApi } from './jobs/api.js';
-import type { Catalog } from './jobs/model.js';
+import { fitsIn, placeAllowed, type Catalog } from './jobs/model.js';
 import { log } from './log.js';
 import { Mesh } from './mesh/mesh.js';
 import { readObjectives } from './placement/urgency.js';
@@ -202,6 +202,15 @@
     objectives,
     workers: facts.workers,
     entitled: () => keeper.entitled(String(slot)) === claim,
+    spareElsewhere: (own, spec) =>
+      [...ownSummaries(), ...mesh.summaries()].some(
+        (summary) =>
+          summary.share !== own &&
+          summary.spares.some((spare) => {
+            const type = catalog()?.get(spare.type);
+            return type !== undefined && placeAllowed(spec, spare) && fitsIn(spec, type);
+          }),
+      ),
     now,
     wall,
     direct: (addr, token, session, commands) => line.send(addr, token, session, commands),
