--- a/src/constants.ts
+++ b/src/constants.ts
@@ -105,6 +105,10 @@
 /** s: work with no stated target that may use spot machines waits this long before ordinary ones are taken
  *  for it: they cost a multiple, and a queue on spot machines usually moves within one task's time. */
 export const SPOT_PATIENCE_S = 45;
+/** s: work that may use spot machines leaves ordinary ones that are up alone for so long, since tasks that end
+ *  on spot machines make room all the time; less within a guarantee, which promises a prompt start. */
+export const ORDINARY_AFTER_S = 20;
+export const ORDINARY_AFTER_GUARANTEED_S = 5;
 /** s: slack to a target below which an ordinary machine that is up is taken rather than waited on. */
 export const URGENT_PLACE_S = 20;
 /** s: slack to a target, boot time taken off, below which an ordinary machine is rented. */
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -38,6 +38,7 @@
     withinGuarantee: false,
     tier: 0,
     urgency: { place: false, rent: false },
+    ordinary: true,
     ...rest,
   };
 };
@@ -111,6 +112,18 @@
     rooms: [room('a', 'x', 8, { spot: true }), room('b', 'x', 8), room('c', 'x', 1)],
     puts: ['job-1/0@c'],
   },
+  {
+    name: 'work that may use spot leaves ordinary machines alone until it may take them',
+    asks: [ask({ tasks: 3, spot: true }, { ordinary: false })],
+    rooms: [room('a', 'x', 8), room('b', 'x', 2, { spot: true })],
+    puts: ['job-1/0@b', 'job-1/1@b'],
+  },
+  {
+    name: 'and those kept for others always',
+    asks: [ask({ tasks: 3, spot: true })],
+    rooms: [room('a', 'x', 8, { kept: true }), room('b', 'x', 2, { spot: true })],
+    puts: ['job-1/0@b', 'job-1/1@b'],
+  },
   {
     name: 'the limit counts what is used already',
     asks: [ask({ tasks: 5 })],
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -29,6 +29,8 @@
   /** Which start targets it can still meet; lower goes first. */
   readonly tier: number;
   readonly urgency: Urgency;
+  /** Work that may use spot machines may take room on ordinary ones now. */
+  readonly ordinary: boolean;
 }
 
 export interface Use {
@@ -124,7 +126,7 @@
   rooms.filter(
     (room) =>
       placeAllowed(ask.spec, room) &&
-      !(ask.spec.spot && room.kept) &&
+      !(ask.spec.spot && !room.spot && (room.kept || !ask.ordinary)) &&
       !ask.failedOn.has(room.id) &&
       fitsIn(ask.spec, room.free),
   );
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -16,6 +16,8 @@
   JOB_BACKOFF_MS,
   JOB_ERRORS,
   LEASE_MARGIN_MS,
+  ORDINARY_AFTER_GUARANTEED_S,
+  ORDINARY_AFTER_S,
   PLACE_TICK_MS,
   REBUILD_MS,
   RESERVED_IDLE,
@@ -77,6 +79,8 @@
   readonly store: Store;
   readonly mirror: Mirror;
   readonly catalog: () => Catalog | null;
+  /** Some job of any share that may not use spot machines fits no other type. */
+  readonly scarce: (type: string) => boolean;
   readonly shareOfTeam: ReadonlyMap<string, number>;
   readonly limits: ReadonlyMap<string, Limit>;
   readonly guarantees: ReadonlyMap<string, Use>;
@@ -119,7 +123,6 @@
   private wake: (() => void) | null = null;
   private poked = false;
   summary: Summary | null = null;
-  private scarce = new Set<string>();
 
   constructor(
     readonly slot: number,
@@ -1069,24 +1072,11 @@
    * work has other types to go to, always; where it has none, as long as it would take one of the last idle.
    */
   private keptForOthers(machine: ShareMachine, idle: number): boolean {
-    if (machine.spot || !this.scarce.has(machine.type)) return false;
+    if (machine.spot || !this.input.scarce(machine.type)) return false;
     if ((this.input.catalog()?.size ?? 0) > 1) return true;
     return machine.bound.size === 0 && idle <= RESERVED_IDLE;
   }
 
-  private noteScarce(job: ShareJob): void {
-    const catalog = this.input.catalog();
-    if (!catalog || job.spec.spot) return;
-    const fits = [...catalog.values()].filter(
-      (type) =>
-        (job.spec.types === null || job.spec.types.includes(type.name)) &&
-        job.spec.cpus <= type.cpus &&
-        job.spec.gpus <= type.gpus &&
-        job.spec.memoryGb <= type.memoryGb,
-    );
-    if (fits.length === 1 && fits[0]) this.scarce.add(fits[0].name);
-  }
-
   /** The shortest nominal boot among the types that the job may use. */
   private bootS(spec: JobSpec): number {
     let least = Number.POSITIVE_INFINITY;
@@ -1102,7 +1092,6 @@
     const asks: Ask[] = [];
     const ahead = new Map<string, Use>();
     for (const job of [...this.jobs.values()].sort((a, b) => a.at - b.at)) {
-      this.noteScarce(job);
       const use = ahead.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
       const left = job.spec.tasks - job.done.size;
       use.cpus += job.spec.cpus * left;
@@ -1124,6 +1113,11 @@
       const guarantee = this.input.guarantees.get(job.spec.team);
       const objectives = this.input.objectives.get(job.spec.klass);
       const waitedS = (this.input.wall() - job.at) / 1000;
+      const withinGuarantee =
+        guarantee !== undefined &&
+        use.gpus <= guarantee.gpus &&
+        (guarantee.cpus === 0 || use.cpus <= guarantee.cpus);
+      const pressing = urgency(job.spec, objectives, waitedS, this.bootS(job.spec), FETCH_GUESS_S);
       asks.push({
         job: job.spec.id,
         spec: job.spec,
@@ -1132,11 +1126,10 @@
         failedOn: job.failedOn,
         at: job.at,
         tier: tier(objectives, waitedS),
-        urgency: urgency(job.spec, objectives, waitedS, this.bootS(job.spec), FETCH_GUESS_S),
-        withinGuarantee:
-          guarantee !== undefined &&
-          use.gpus <= guarantee.gpus &&
-          (guarantee.cpus === 0 || use.cpus <= guarantee.cpus),
+        urgency: pressing,
+        ordinary:
+          pressing.place || waitedS > (withinGuarantee ? ORDINARY_AFTER_GUARANTEED_S : ORDINARY_AFTER_S),
+        withinGuarantee,
       });
     }
     return [...order(asks)];
--- a/src/service.ts
+++ b/src/service.ts
@@ -18,7 +18,8 @@
 import type { Summary } from './fleet/records.js';
 import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
 import { UsersApi } from './jobs/api.js';
-import { fitsIn, placeAllowed, type Catalog } from './jobs/model.js';
+import { readJobRecord } from './jobs/codec.js';
+import { fitsIn, placeAllowed, typeAllowed, type Catalog, type JobSpec } from './jobs/model.js';
 import { log } from './log.js';
 import { Mesh } from './mesh/mesh.js';
 import { readObjectives } from './placement/urgency.js';
@@ -196,6 +197,7 @@
     store,
     mirror,
     catalog,
+    scarce: (type) => scarceTypes.has(type),
     shareOfTeam,
     limits,
     guarantees,
@@ -232,6 +234,15 @@
     log.info({ event: 'share.taken', share: slot, claim });
   };
 
+  /** Types without an alternative for some job seen since this process began. */
+  const scarceTypes = new Set<string>();
+  const noteScarce = (spec: JobSpec): void => {
+    const types = catalog();
+    if (!types || spec.spot) return;
+    const fits = [...types.values()].filter((type) => typeAllowed(spec, type.name) && fitsIn(spec, type));
+    if (fits.length === 1 && fits[0]) scarceTypes.add(fits[0].name);
+  };
+
   mirror.onEvent((event) => {
     const key = event._tag === 'put' ? event.item.key : event.key;
     const id = key.slice(4);
@@ -239,6 +250,7 @@
       for (let slot = 0; slot < slots; slot += 1) if (key === claimKey(String(slot))) followClaim(slot);
       return;
     }
+    if (event._tag === 'put' && key.startsWith('w/j/')) noteScarce(readJobRecord(event.item.value).spec);
     for (const { share } of shares.values()) {
       if (key.startsWith('w/m/')) {
         if (event._tag === 'put') share.onMachineRecord(event.item);
