--- a/src/constants.ts
+++ b/src/constants.ts
@@ -102,17 +102,15 @@
 /** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
  *  worker waits 4 s, and its lease counts from when it sent the report. */
 export const ANSWER_WAIT_MS = 400;
-/** s: work with no stated target that may use spot machines waits this long before ordinary ones are taken
- *  for it: they cost a multiple, and a queue on spot machines usually moves within one task's time. */
-export const SPOT_PATIENCE_S = 45;
+/** s: work that may use spot machines waits this long before ordinary ones are rented for it: they cost a
+ *  multiple, and a queue on spot machines usually moves within one task's time. */
+export const SPOT_PATIENCE_S = 90;
 /** s: work that may use spot machines leaves ordinary ones that are up alone for so long, since tasks that end
  *  on spot machines make room all the time; less within a guarantee, which promises a prompt start. */
 export const ORDINARY_AFTER_S = 20;
 export const ORDINARY_AFTER_GUARANTEED_S = 5;
 /** s: slack to a target below which an ordinary machine that is up is taken rather than waited on. */
 export const URGENT_PLACE_S = 20;
-/** s: slack to a target, boot time taken off, below which an ordinary machine is rented. */
-export const URGENT_RENT_S = 15;
 /** s: taken off a target for an image that may have to be fetched; what a common image takes. */
 export const FETCH_GUESS_S = 10;
 /** Times the loosest start target after which a waiting job goes first again. */
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -51,7 +51,7 @@
   free: { cpus: freeGpus * 8, gpus: freeGpus, memoryGb: freeGpus * 8 },
   images: new Set(),
   live: true,
-  kept: false,
+  kept: 'no',
   ...over,
 });
 const LIMIT: Limit = { cpusMax: 0, gpusMax: 100 };
@@ -121,7 +121,7 @@
   {
     name: 'and those kept for others always',
     asks: [ask({ tasks: 3, spot: true })],
-    rooms: [room('a', 'x', 8, { kept: true }), room('b', 'x', 2, { spot: true })],
+    rooms: [room('a', 'x', 8, { kept: 'always' }), room('b', 'x', 2, { spot: true })],
     puts: ['job-1/0@b', 'job-1/1@b'],
   },
   {
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -12,8 +12,8 @@
   readonly images: ReadonlySet<string>;
   /** False: still booting, or not heard from yet; counts for planning, takes no tasks. */
   readonly live: boolean;
-  /** A spot-capable task should rather not take it. */
-  readonly kept: boolean;
+  /** Held back from spot-capable work: the last idle ones while that can wait, those of scarce types always. */
+  readonly kept: 'no' | 'reserve' | 'always';
 }
 
 export interface Ask {
@@ -114,7 +114,7 @@
     .map((room) => ({ room, full: fullness([room]) }))
     .sort(
       (a, b) =>
-        Number(a.room.kept) - Number(b.room.kept) ||
+        Number(a.room.kept !== 'no') - Number(b.room.kept !== 'no') ||
         Number(b.room.spot) - Number(a.room.spot) ||
         Number(b.room.images.has(spec.image)) - Number(a.room.images.has(spec.image)) ||
         b.full - a.full ||
@@ -122,11 +122,23 @@
     )
     .map((entry) => entry.room);
 
+const heldBack = (ask: Ask, room: Room): boolean => {
+  if (!ask.ordinary) return true;
+  switch (room.kept) {
+    case 'no':
+      return false;
+    case 'reserve':
+      return !ask.urgency.place;
+    case 'always':
+      return true;
+  }
+};
+
 const usable = (ask: Ask, rooms: readonly Room[]): readonly Room[] =>
   rooms.filter(
     (room) =>
       placeAllowed(ask.spec, room) &&
-      !(ask.spec.spot && !room.spot && (room.kept || !ask.ordinary)) &&
+      !(ask.spec.spot && !room.spot && heldBack(ask, room)) &&
       !ask.failedOn.has(room.id) &&
       fitsIn(ask.spec, room.free),
   );
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -1071,20 +1071,10 @@
    * Ordinary machines that some job can't do without are held back from work that can use spot: where that
    * work has other types to go to, always; where it has none, as long as it would take one of the last idle.
    */
-  private keptForOthers(machine: ShareMachine, idle: number): boolean {
-    if (machine.spot || !this.input.scarce(machine.type)) return false;
-    if ((this.input.catalog()?.size ?? 0) > 1) return true;
-    return machine.bound.size === 0 && idle <= RESERVED_IDLE;
-  }
-
-  /** The shortest nominal boot among the types that the job may use. */
-  private bootS(spec: JobSpec): number {
-    let least = Number.POSITIVE_INFINITY;
-    for (const type of this.input.catalog()?.values() ?? []) {
-      if ((spec.types === null || spec.types.includes(type.name)) && fitsIn(spec, type))
-        least = Math.min(least, type.bootS);
-    }
-    return Number.isFinite(least) ? least : 0;
+  private keptForOthers(machine: ShareMachine, idle: number): Room['kept'] {
+    if (machine.spot || !this.input.scarce(machine.type)) return 'no';
+    if ((this.input.catalog()?.size ?? 0) > 1) return 'always';
+    return machine.bound.size === 0 && idle <= RESERVED_IDLE ? 'reserve' : 'no';
   }
 
   private asks(): Ask[] {
@@ -1117,7 +1107,7 @@
         guarantee !== undefined &&
         use.gpus <= guarantee.gpus &&
         (guarantee.cpus === 0 || use.cpus <= guarantee.cpus);
-      const pressing = urgency(job.spec, objectives, waitedS, this.bootS(job.spec), FETCH_GUESS_S);
+      const pressing = urgency(job.spec, objectives, waitedS, FETCH_GUESS_S);
       asks.push({
         job: job.spec.id,
         spec: job.spec,
@@ -1286,8 +1276,9 @@
   private plan(left: readonly { ask: Ask; count: number }[], rooms: Room[], uses: Map<string, Use>): void {
     const now = this.input.wall();
     const coming = packAll(
-      left.map(({ ask, count }) => ({ ...ask, waiting: ask.waiting.slice(-count) })),
-      rooms,
+      // What was rented for this work must count for it before it may be used, or it is rented again.
+      left.map(({ ask, count }) => ({ ...ask, waiting: ask.waiting.slice(-count), ordinary: true })),
+      rooms.map((room) => (room.live || room.kept === 'always' ? room : { ...room, kept: 'no' as const })),
       this.input.limits,
       uses,
     );
