--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -37,7 +37,6 @@
 } from '../fleet/records.js';
 import { readJobRecord, writeFinalRecord } from '../jobs/codec.js';
 import {
-  fitsIn,
   placeAllowed,
   type Catalog,
   type Demand,
