--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../jobs/model.js';
-import { packAll, quotaRoom, type Ask, type Limit, type Room } from './pack.js';
+import { order, packAll, quotaRoom, type Ask, type Limit, type Room } from './pack.js';
 
 const spec = (over: Partial<JobSpec>): JobSpec => ({
   id: 'job-1',
@@ -210,3 +210,26 @@
 for (const row of quotas) {
   test(`quota: ${row.name}`, () => assert.equal(quotaRoom(row.need, row.limit, row.use, 50), row.room));
 }
+
+const orders: readonly { name: string; asks: readonly Ask[]; expect: readonly string[] }[] = [
+  {
+    name: 'priority, then no spot to go to, then the guarantee, then targets, then the shortest, then the oldest',
+    asks: [
+      ask({ id: 'old' }, { at: 1, tier: 1 }),
+      ask({ id: 'short', estimateS: 5 }, { at: 9 }),
+      ask({ id: 'older' }, { at: 2 }),
+      ask({ id: 'newer' }, { at: 3 }),
+      ask({ id: 'spot', spot: true }, { at: 0, withinGuarantee: true }),
+      ask({ id: 'owed' }, { at: 8, withinGuarantee: true, tier: 2 }),
+      ask({ id: 'urgent', priority: 2, spot: true }, { at: 99 }),
+    ],
+    expect: ['urgent', 'owed', 'short', 'older', 'newer', 'old', 'spot'],
+  },
+];
+for (const row of orders) {
+  test(`order: ${row.name}`, () =>
+    assert.deepEqual(
+      order(row.asks).map((entry) => entry.job),
+      row.expect,
+    ));
+}
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -216,11 +216,12 @@
   readonly left: readonly { readonly ask: Ask; readonly count: number }[];
 }
 
-/** Most important first; then work within its team's guarantee; then by targets; then the shortest; then the oldest. */
+/** Most important first; then work that has no spot machines to go to; then work within its team's guarantee; then by targets; then the shortest; then the oldest. */
 export const order = (asks: readonly Ask[]): readonly Ask[] =>
   [...asks].sort(
     (a, b) =>
       b.spec.priority - a.spec.priority ||
+      Number(a.spec.spot) - Number(b.spec.spot) ||
       Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
       a.tier - b.tier ||
       a.spec.estimateS - b.spec.estimateS ||
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -1275,8 +1275,13 @@
   private plan(left: readonly { ask: Ask; count: number }[], rooms: Room[], uses: Map<string, Use>): void {
     const now = this.input.wall();
     const coming = packAll(
-      // What was rented for this work must count for it before it may be used, or it is rented again.
-      left.map(({ ask, count }) => ({ ...ask, waiting: ask.waiting.slice(-count), ordinary: true })),
+      // What was rented for this work must count for it before it may be used, or it is rented again; what was
+      // rented for work that can use no spot must not be planned away for work that can.
+      left.map(({ ask, count }) => ({
+        ...ask,
+        waiting: ask.waiting.slice(-count),
+        ordinary: ask.urgency.rent,
+      })),
       rooms.map((room) => (room.live || room.kept === 'always' ? room : { ...room, kept: 'no' as const })),
       this.input.limits,
       uses,
