--- a/src/constants.ts
+++ b/src/constants.ts
@@ -104,7 +104,7 @@
 export const ANSWER_WAIT_MS = 400;
 /** s: work that may use spot machines waits this long before ordinary ones are rented for it: they cost a
  *  multiple, and a queue on spot machines usually moves within one task's time. */
-export const SPOT_PATIENCE_S = 90;
+export const SPOT_PATIENCE_S = 180;
 /** s: work that may use spot machines leaves ordinary ones that are up alone for so long, since tasks that end
  *  on spot machines make room all the time; less within a guarantee, which promises a prompt start. */
 export const ORDINARY_AFTER_S = 20;
