--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -55,6 +55,12 @@
   return null;
 };
 
+/** Names of types that don't exist are dropped: a long list of them must not outgrow the job's record. */
+export const knownTypes = (spec: JobSpec, catalog: Catalog): JobSpec =>
+  spec.types === null
+    ? spec
+    : { ...spec, types: [...new Set(spec.types)].filter((type) => catalog.has(type)) };
+
 const later: Reply = {
   status: 503,
   body: { error: 'not able to answer now' },
@@ -133,8 +139,8 @@
     return Effect.gen({ self: this }, function* () {
       const read = readSubmission(value);
       if (read._tag === 'malformed') return { status: 400, body: { error: read.why } };
-      const { spec } = read;
       const catalog = this.input.catalog();
+      const spec = catalog ? knownTypes(read.spec, catalog) : read.spec;
       const why = catalog ? hopeless(spec, catalog, this.input.limits) : null;
       if (!catalog || why !== null) {
         // A repeat of an accepted job is answered as such, whatever its body says.
--- a/src/jobs/jobs.test.ts
+++ b/src/jobs/jobs.test.ts
@@ -5,7 +5,7 @@
 import { readRunRecord, writeRunRecord } from '../placement/records.js';
 import { checkSettings } from '../settings/schema.js';
 import { divideTeams } from '../settings/teams.js';
-import { hopeless } from './api.js';
+import { hopeless, knownTypes } from './api.js';
 import { readJobRecord, readSubmission, writeJobRecord } from './codec.js';
 import type { Catalog, JobSpec } from './model.js';
 
@@ -110,6 +110,11 @@
     assert.equal(hopeless(row.spec, catalog, limits) === null, row.ok));
 }
 
+test('a long list of types that do not exist does not outgrow the record', () => {
+  const many = Array.from({ length: 4_000 }, (_, k) => `none-${k}`);
+  assert.deepEqual(knownTypes(spec({ types: [...many, 'g8', 'g8'] }), catalog).types, ['g8']);
+});
+
 const urgencies: readonly {
   name: string;
   finished: readonly number[];
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -213,17 +213,18 @@
 
 const orders: readonly { name: string; asks: readonly Ask[]; expect: readonly string[] }[] = [
   {
-    name: 'priority, then no spot to go to, then the guarantee, then targets, then the shortest, then the oldest',
+    name: 'priority, then no spot to go to, then the guarantee, then targets, then the shortest, then the deadline, then the oldest',
     asks: [
       ask({ id: 'old' }, { at: 1, tier: 1 }),
       ask({ id: 'short', estimateS: 5 }, { at: 9 }),
       ask({ id: 'older' }, { at: 2 }),
       ask({ id: 'newer' }, { at: 3 }),
+      ask({ id: 'due', deadlineS: 60 }, { at: 7 }),
       ask({ id: 'spot', spot: true }, { at: 0, withinGuarantee: true }),
       ask({ id: 'owed' }, { at: 8, withinGuarantee: true, tier: 2 }),
       ask({ id: 'urgent', priority: 2, spot: true }, { at: 99 }),
     ],
-    expect: ['urgent', 'owed', 'short', 'older', 'newer', 'old', 'spot'],
+    expect: ['urgent', 'owed', 'short', 'due', 'older', 'newer', 'old', 'spot'],
   },
 ];
 for (const row of orders) {
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -216,7 +216,10 @@
   readonly left: readonly { readonly ask: Ask; readonly count: number }[];
 }
 
-/** Most important first; then work that has no spot machines to go to; then work within its team's guarantee; then by targets; then the shortest; then the oldest. */
+const dueAt = (ask: Ask): number =>
+  ask.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : ask.at + ask.spec.deadlineS * 1000;
+
+/** Most important first; then work that has no spot machines to go to; then work within its team's guarantee; then by targets; then the shortest; then by deadline; then the oldest. */
 export const order = (asks: readonly Ask[]): readonly Ask[] =>
   [...asks].sort(
     (a, b) =>
@@ -225,6 +228,7 @@
       Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
       a.tier - b.tier ||
       a.spec.estimateS - b.spec.estimateS ||
+      dueAt(a) - dueAt(b) ||
       a.at - b.at ||
       (a.job < b.job ? -1 : 1),
   );
