--- a/src/constants.ts
+++ b/src/constants.ts
@@ -111,6 +111,8 @@
 export const ORDINARY_AFTER_GUARANTEED_S = 5;
 /** s: slack to a target below which an ordinary machine that is up is taken rather than waited on. */
 export const URGENT_PLACE_S = 20;
+/** s: slack to a target, boot time taken off, below which an ordinary machine is rented. */
+export const URGENT_RENT_S = 15;
 /** s: taken off a target for an image that may have to be fetched; what a common image takes. */
 export const FETCH_GUESS_S = 10;
 /** Times the loosest start target after which a waiting job goes first again. */
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -37,7 +37,9 @@
 } from '../fleet/records.js';
 import { readJobRecord, writeFinalRecord } from '../jobs/codec.js';
 import {
+  fitsIn,
   placeAllowed,
+  typeAllowed,
   type Catalog,
   type Demand,
   type FinalState,
@@ -1076,6 +1078,15 @@
     return machine.bound.size === 0 && idle <= RESERVED_IDLE ? 'reserve' : 'no';
   }
 
+  /** The shortest nominal boot among the types that the job may use. */
+  private bootS(spec: JobSpec): number {
+    let least = Number.POSITIVE_INFINITY;
+    for (const type of this.input.catalog()?.values() ?? []) {
+      if (typeAllowed(spec, type.name) && fitsIn(spec, type)) least = Math.min(least, type.bootS);
+    }
+    return Number.isFinite(least) ? least : 0;
+  }
+
   private asks(): Ask[] {
     const now = this.input.now();
     const asks: Ask[] = [];
@@ -1106,7 +1117,7 @@
         guarantee !== undefined &&
         use.gpus <= guarantee.gpus &&
         (guarantee.cpus === 0 || use.cpus <= guarantee.cpus);
-      const pressing = urgency(job.spec, objectives, waitedS, FETCH_GUESS_S);
+      const pressing = urgency(job.spec, objectives, waitedS, this.bootS(job.spec), FETCH_GUESS_S);
       asks.push({
         job: job.spec.id,
         spec: job.spec,
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -1,4 +1,4 @@
-import { URGENT_PLACE_S, SPOT_PATIENCE_S, STARVING_FACTOR } from '../constants.js';
+import { URGENT_PLACE_S, URGENT_RENT_S, SPOT_PATIENCE_S, STARVING_FACTOR } from '../constants.js';
 import type { JobSpec } from '../jobs/model.js';
 
 /** What the settings say is expected of a class of jobs, in seconds from submission. */
@@ -46,28 +46,28 @@
 export interface Urgency {
   /** Taking an ordinary machine that is up now saves a target that waiting would miss. */
   readonly place: boolean;
-  /** It has waited so long that spot machines are plainly not to be had: ordinary ones are rented for it. */
+  /** Renting an ordinary machine now still saves a target, and later won't; or spot is plainly not to be had. */
   readonly rent: boolean;
 }
 
 /**
- * Work that may use spot machines takes room on an ordinary one that is up where that saves a target: neither
- * while there is slack to wait for a spot machine, nor once the target is lost anyway. Renting ordinary machines,
- * which cost a multiple, to save a target was tried: the machine is up too late more often than not.
+ * Work that may use spot machines is worth an ordinary one, which costs a multiple, only where that saves a
+ * target: neither while there is slack to wait for a spot machine, nor once the target is lost anyway.
  */
 export const urgency = (
   spec: JobSpec,
   objectives: Objectives | undefined,
   waitedS: number,
+  bootS: number,
   fetchS: number,
 ): Urgency => {
   const list = targets(spec, objectives);
-  const rent = waitedS > SPOT_PATIENCE_S;
-  if (list.length === 0) return { place: rent, rent };
+  const long = waitedS > SPOT_PATIENCE_S;
+  if (list.length === 0) return { place: long, rent: long };
   const slack = (target: number): number => target - waitedS - spec.estimateS - fetchS;
   return {
     place: list.some((target) => slack(target) >= 0 && slack(target) < URGENT_PLACE_S),
-    rent,
+    rent: long || list.some((target) => slack(target) >= bootS && slack(target) < bootS + URGENT_RENT_S),
   };
 };
 
