--- a/src/constants.ts
+++ b/src/constants.ts
@@ -68,6 +68,8 @@
 /** Sockets to a sibling: beats, task counts and moves. */
 export const SOCKETS_MESH = 6;
 
+/** Tasks of one job looked at in one round; the largest gang must fit, and no machine park here holds more. */
+export const ASK_TASKS = 2_048;
 /** ms: between placement rounds; events start one at once. */
 export const PLACE_TICK_MS = 250;
 /** ms: after a takeover, placement waits at most this long for the share's machines to report. */
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -1,5 +1,6 @@
 import * as Effect from 'effect/Effect';
 import {
+  ASK_TASKS,
   BOOT_FACTOR,
   BOOT_SLACK_S,
   BOOT_USUAL,
@@ -212,6 +213,7 @@
         version,
         cancelled: false,
         done: new Set(),
+        firstOpen: 0,
         bindings: new Map(),
         attempt: 0,
         chunks: new Map(),
@@ -1100,8 +1102,9 @@
       if (job.cancelled || job.finishing || isFinished(job) || now < job.backoffUntil) continue;
       if (job.spec.kind === 'gang' && job.bindings.size > 0) continue;
       const waiting: number[] = [];
-      // Enough for any limit; a job of 100,000 tasks need not be listed whole.
-      for (let index = 0; index < job.spec.tasks && waiting.length < 4_096; index += 1) {
+      // Enough for any limit; a job of 100,000 tasks need not be walked whole each round.
+      while (job.done.has(job.firstOpen)) job.firstOpen += 1;
+      for (let index = job.firstOpen; index < job.spec.tasks && waiting.length < ASK_TASKS; index += 1) {
         if (!job.done.has(index) && !job.bindings.has(index)) waiting.push(index);
       }
       if (waiting.length === 0) continue;
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -39,6 +39,8 @@
   version: number;
   cancelled: boolean;
   readonly done: Set<number>;
+  /** All tasks before this one are done. */
+  firstOpen: number;
   readonly bindings: Map<number, Binding>;
   attempt: number;
   readonly chunks: Map<number, Chunk>;
--- a/src/service.test.ts
+++ b/src/service.test.ts
@@ -307,3 +307,50 @@
     }
   });
 }
+
+test(
+  'service: a job of 100,000 tasks costs no key for each task, and can be cancelled',
+  { timeout: 120_000 },
+  async () => {
+    mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_700_000_000_000 });
+    const world = new World(NODES, new Luck(7), 15_000, 3_000, LIMITS, CANCEL_MS);
+    const cluster = new Cluster(world);
+    const pass = async (ms: number): Promise<void> => {
+      for (const end = Date.now() + ms; Date.now() < end;) {
+        mock.timers.tick(STEP_MS);
+        await tick();
+        world.step();
+      }
+    };
+    const ask = async (method: string, path: string, body?: unknown): Promise<Answer> => {
+      let answer: Answer = { _tag: 'silence', why: 'not yet' };
+      void world.call('user', 'n0', method, path, body, 2_000).then((said) => (answer = said));
+      await pass(2_100);
+      return answer;
+    };
+    try {
+      NODES.forEach((node) => cluster.up(node));
+      for (let k = 0; k < 2; k += 1) world.boot('x', false, 100);
+      await pass(5_000);
+      const job = jobOf(1, { heads: 100_000, owner: 'blue' }, 1_500);
+      world.jobs.set(job.id, job);
+      const accepted = await ask('POST', '/v2/runs', job.body);
+      assert.ok(accepted._tag === 'answer' && accepted.status === 201);
+      await pass(20_000);
+      assert.ok(world.starts.length > 20, 'tasks run');
+      const touched = Math.ceil((world.starts.length + 16) / 128) + 1;
+      assert.ok(world.state.keys('r/').length <= touched, `${world.state.keys('r/').length} run records`);
+      const cancelled = await ask('POST', `/v2/runs/${job.id}/abort`);
+      assert.ok(cancelled._tag === 'answer' && cancelled.status === 200);
+      job.cancelledAt = Date.now();
+      await pass(12_000);
+      assert.deepEqual(world.state.keys('r/'), []);
+      assert.deepEqual(world.state.keys('w/j/'), []);
+      assert.deepEqual(world.state.keys('f/'), [`f/${job.id}`]);
+      assert.deepEqual(world.broken, []);
+    } finally {
+      NODES.forEach((node) => cluster.down(node));
+      mock.timers.reset();
+    }
+  },
+);
