--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -562,9 +562,7 @@
       machine,
       report,
       report.token === token,
-      (key, job, index) =>
-        !this.mayBeLate(machine, key, report.token) &&
-        !(this.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false),
+      (key, job, index) => !this.mayBeLate(machine, key, report.token) && this.settled(key, job, index),
       this.input.now(),
     );
     return { token, commands };
@@ -788,10 +786,19 @@
     });
   }
 
+  /** The state service no longer binds this attempt: a later holder won't start it again. */
+  private settled(key: string, job: string, index: number): boolean {
+    return !(this.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false);
+  }
+
+  /** Free for another share: nothing on it but exits that are settled, which any holder may have forgotten. */
   private movable(machine: ShareMachine): boolean {
     return (
       this.idle(machine) &&
-      machine.reported.length === 0 &&
+      machine.unsureRuns.size === 0 &&
+      machine.reported.every((task) =>
+        this.settled(bindingKey(task.job, task.index, task.attempt), task.job, task.index),
+      ) &&
       !machine.releasing &&
       machine.noticeAt === null &&
       machine.health._tag === 'fine'
