Stops go out directly too

Cause: an orderly stop must reach all members of a gang within gang_peer_s (4 s), and reports alone come up to 3.75 s apart.

--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -315,9 +315,39 @@
   private stop(binding: Binding, reason: Stop['reason'], graceS: number): void {
     if (binding.stop && binding.stop.graceS <= graceS) return;
     binding.stop = { reason, graceS, since: this.input.now() };
+    if (onMachine(binding.phase)) this.stops.add(binding);
     this.poke();
   }
 
+  private readonly stops = new Set<Binding>();
+
+  /**
+   * Stops go out directly too: all members of a gang must hear of an orderly stop within the time that its
+   * tasks wait for each other, and reports alone may take as long. A late copy stops only what is to stop anyway.
+   */
+  private sendStops(): void {
+    const byMachine = new Map<string, Binding[]>();
+    for (const binding of this.stops) {
+      if (binding.stop && onMachine(binding.phase))
+        byMachine.set(binding.machine, [...(byMachine.get(binding.machine) ?? []), binding]);
+    }
+    this.stops.clear();
+    for (const [id, list] of byMachine) {
+      const machine = this.machines.get(id);
+      if (!machine || machine.addr === '' || machine.confirmedToken === 0) continue;
+      const commands = list.map((binding): Command => ({
+        _tag: 'stop',
+        job: binding.job,
+        index: binding.index,
+        attempt: binding.attempt,
+        graceS: binding.stop?.graceS ?? 0,
+      }));
+      void this.input.direct(machine.addr, this.token(machine), machine.session, commands).then((result) => {
+        if (result._tag === 'executed') this.onDirectReport(machine, result.report);
+      });
+    }
+  }
+
   private graceOf(job: ShareJob): number {
     return job.spec.checkpointS > 0 ? job.spec.saveS + SETTLE_EXTRA_S : 0;
   }
@@ -631,6 +661,7 @@
       const waiting = this.rounds.splice(0);
       if (this.stage === 'lost') return;
       if (!this.input.entitled()) continue;
+      this.sendStops();
       this.watchMachines();
       yield* this.releaseMachines();
       yield* this.finishJobs();
