--- /dev/null
+++ b/src/batch.ts
@@ -0,0 +1,33 @@
+/**
+ * Questions that come together are asked together: the first waits a moment for others, then one call answers
+ * all. An answer is always younger than its question.
+ */
+export class Batcher<Question, Answer> {
+  private waiting: { question: Question; settle: (answer: Answer) => void }[] = [];
+  private timer: ReturnType<typeof setTimeout> | null = null;
+
+  constructor(
+    private readonly delayMs: number,
+    private readonly most: number,
+    /** Answers in the order of the questions; must not reject. */
+    private readonly askAll: (questions: readonly Question[]) => Promise<readonly Answer[]>,
+  ) {}
+
+  ask(question: Question): Promise<Answer> {
+    return new Promise((resolve) => {
+      this.waiting.push({ question, settle: resolve });
+      if (this.waiting.length >= this.most) this.send();
+      else this.timer ??= setTimeout(() => this.send(), this.delayMs);
+    });
+  }
+
+  private send(): void {
+    if (this.timer) clearTimeout(this.timer);
+    this.timer = null;
+    const batch = this.waiting;
+    this.waiting = [];
+    void this.askAll(batch.map((entry) => entry.question)).then((answers) => {
+      batch.forEach((entry, index) => entry.settle(answers[index] as Answer));
+    });
+  }
+}
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -21,12 +21,33 @@
 
 /** ms: between beats to each sibling; the leader acts on what beats say. */
 export const BEAT_MS = 1_000;
+/** ms: between two beats to the leader when something changed; a change a few rounds apart shares one. */
+export const BEAT_HURRY_MS = 400;
+/** ms: a share's needs are worked out this often at most; the leader acts on them no faster. */
+export const PLAN_MS = 300;
+/** Spares of one type, zone and kind that a share names to the leader, and to the others. More are seldom
+ *  moved at once, and a beat must stay small with hundreds of machines. */
+export const SPARES_NAMED = 24;
+/** Classes of need in one summary: the most important first. */
+export const NEEDS_NAMED = 40;
+/** ms: between two summaries or orders that go through the state service because a connection is refused: two
+ *  changes of its rate for each node cut off so. */
+export const DETOUR_MS = 2_000;
+/** ms: what came that way counts this long. */
+export const DETOUR_FRESH_MS = 7_000;
+/** ms: users' questions wait this long for others, to be read fresh together. */
+export const FRESH_BATCH_MS = 120;
+/** ms and times: a call of a user's that the state service had no rate left for is tried again here, so that the
+ *  user need not. */
+export const RATE_RETRY_MS = 120;
+export const RATE_RETRIES = 6;
 /** ms: a sibling's word about the state service counts this long. */
 export const BEAT_FRESH_MS = 2_500;
 /** ms: wait for a sibling's answer. */
 export const MESH_TIMEOUT_MS = 900;
-/** ms: wait for a sibling's task counts while a user waits; the counts are for display only. */
-export const COUNTS_TIMEOUT_MS = 300;
+
+/** Jobs whose task counts a share tells the other nodes with each beat; they are for display only. */
+export const COUNTS_TOLD = 400;
 
 /** ms: wait for the state service. Normal answers take 10 ms, now and then a few hundred. */
 export const STORE_TIMEOUT_MS = 1_500;
@@ -38,6 +59,16 @@
 export const STORE_RETRY_MS = 300;
 /** Items: page size of lists; the service's own bound is 1,000. */
 export const LIST_PAGE = 500;
+/** Fraction of the request rate that watches may use: each change ends every node's watch. A node's share of it
+ *  is the pause between two watches, some 0.2 s, little beside a report interval. */
+export const WATCH_SHARE = 0.15;
+/** ms: between looks at the queue for budget; a fraction of a call's own time. */
+export const BUDGET_PUMP_MS = 10;
+/** ms: over so long (once or twice) a node's demand for budget is measured; several beats. */
+export const BUDGET_WINDOW_MS = 2_000;
+/** Fraction of a common rate that is divided evenly; the rest goes by demand. An idle node must be able to
+ *  renew, answer and take over at once, before the others have heard of its demand. */
+export const BUDGET_EVEN = 0.5;
 /** Fraction of the node's request budget that only renewals and users' calls may use. */
 export const STORE_RESERVE = 0.35;
 /** ms: longest wait for budget before a call is given up as not carried out. */
@@ -63,6 +94,8 @@
 export const USER_BUDGET_MS = 1_800;
 /** Fraction of the socket limit for incoming connections. */
 export const SOCKETS_IN = 0.8;
+/** Fraction of the socket limit for direct commands to workers under way. */
+export const SOCKETS_DIRECT = 0.06;
 /** Sockets to one address. */
 export const SOCKETS_OUT = 24;
 /** Sockets to a sibling: beats, task counts and moves. */
@@ -71,12 +104,33 @@
 /** Tasks of one job looked at in one round; the largest gang must fit, and no machine park here holds more. */
 export const ASK_TASKS = 2_048;
 /** ms: between placement rounds; events start one at once. */
-export const PLACE_TICK_MS = 250;
-/** ms: after a takeover, placement waits at most this long for the share's machines to report. */
-export const REBUILD_MS = 4_500;
+export const PLACE_TICK_MS = 500;
+/** Report intervals: after a takeover, placement waits at most this long for the share's machines to report. Each
+ *  has reported once by then, and once more under the new token if it heard the answer. */
+export const REBUILD_REPORTS = 1.5;
 /** ms: a job waits this long for free machines of other shares before groups are evicted for it: one beat
  *  and one move, with some to spare. */
 export const EVICT_AFTER_MS = 2_500;
+/** Transactions of one share under way at once; an answer takes some 10 ms, so these fill any rate. */
+export const COMMITS_AT_ONCE = 6;
+/** Times a round's own length that passes before the next begins: rounds take a quarter of the core at most, and
+ *  reports, users' calls and renewals the rest. */
+export const ROUND_REST = 3;
+/** ms: between two rounds at least. Events that come within it share a round, and a report's answer waits for it. */
+export const ROUND_GAP_MS = 100;
+/** Exits and ms: so many settled exits on a machine, or one so old, are forgotten together: each time one is, its
+ *  worker reports anew. */
+export const FORGET_TOGETHER = 6;
+export const FORGET_AFTER_MS = 12_000;
+/** ms: machines are looked at this often for leases, silence and return; all of them counts in seconds. */
+export const WATCH_MACHINES_MS = 500;
+/** ms: pause between searches for groups to evict, the dearest of decisions. */
+export const EVICT_EVERY_MS = 1_000;
+/** Waiting classes that one search looks at. */
+export const EVICT_ASKS = 6;
+/** ms: a finished task's record waits this long for others of its job. Until then its worker's report is the
+ *  record; a machine whose exits are not written can't move to another share, nor have them forgotten. */
+export const FLUSH_AGE_MS = 2_500;
 /** ms: pause between writes of finished tasks, so that they share transactions. */
 export const FLUSH_MS = 400;
 /** Fraction of the node's change budget that binding and flushing may use in one round. */
@@ -91,16 +145,18 @@
  *  (1.5 is the usual bound); later ones are no longer planned on, so a replacement is rented. */
 export const BOOT_USUAL = 1.6;
 export const BOOT_USUAL_S = 5;
-/** ms: a spot machine silent for this long, three reports, is taken to have been taken back. */
-export const SPOT_SILENT_MS = 10_000;
+/** Report intervals: a spot machine silent for this long is taken to have been taken back. */
+export const SPOT_SILENT_REPORTS = 3.3;
+/** Answers that carried the same `run`, each followed by a report without the task: the machine does not hear. */
+export const RUN_TRIES = 3;
 /** s: no idle machine goes back sooner, however fast it boots: reports and moves take some seconds. */
 export const IDLE_RETURN_S = 15;
 /** Nominal boot times for which an idle machine is held: about what a new one costs, in time and money. */
 export const IDLE_BOOTS = 1.5;
 /** Machines: so many idle ones of a kind are held that long by each share; it is gangs of a few tasks that wait. */
 export const HELD_IDLE = 2;
-/** Nominal boot times for which the others are held: a lull of half a boot is no reason to let go. */
-export const IDLE_BOOTS_MANY = 0.5;
+/** Nominal boot times for which the others are held: a lull shorter than that is no reason to let go. */
+export const IDLE_BOOTS_MANY = 1;
 /** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
  *  worker waits 4 s, and its lease counts from when it sent the report. */
 export const ANSWER_WAIT_MS = 400;
@@ -136,11 +192,26 @@
 
 /** ms: wait for a worker's answer to direct commands. */
 export const DIRECT_TIMEOUT_MS = 1_500;
-/** ms: a holder that heard no worker for this long, while another node hears them, hands its share over. */
-export const DEAF_MS = 9_000;
+/** Report intervals: a holder that heard no worker for this long, while another node hears them, hands its share
+ *  over. */
+export const DEAF_REPORTS = 3;
 /** ms: after that it takes no share back; long enough for most cuts, and it can't tell when one ends. */
 export const DEAF_PAUSE_MS = 45_000;
 
+/** ms: a gang that no zone has room for waits this long before machines are gathered for it: the next few to come
+ *  free may be enough, and a machine kept idle for it is lost to others. */
+export const HOLD_AFTER_MS = 8_000;
+/** ms: the same for one task, which goes without while larger gangs are gathered for in every zone. */
+export const HOLD_SINGLE_AFTER_MS = 45_000;
+/** ms: a hold that did not lead to a start by then is given up, and may begin anew in another zone: a zone turns
+ *  over within a task's time or two. */
+export const HOLD_MAX_MS = 100_000;
+/** ms: a move that shows nowhere by then was not carried out; a transaction, a watch and a beat, with some to spare. */
+export const MOVE_SHOWN_MS = 4_000;
+/** ms: a machine that came from another share counts as room for this long before its worker has answered. */
+export const GREET_MS = 3_000;
+/** ms: a hold is heeded this long after it was last heard of. */
+export const HOLD_FRESH_MS = 4_000;
 /** ms: between the leader's rounds. */
 export const LEADER_TICK_MS = 250;
 /** ms: between reads of the machine list. */
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -2,8 +2,10 @@
 import {
   CATALOG_MS,
   CLOUD_RETRY_MS,
+  HOLD_MAX_MS,
   LEADER_TICK_MS,
   LIST_MS,
+  MOVE_SHOWN_MS,
   NO_CAPACITY_MAX_MS,
   NO_CAPACITY_MS,
   RELEASE_MAX,
@@ -16,8 +18,15 @@
 import { CATALOG_KEY, claimKey, machineKey } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
 import type { Cloud, ListedMachine } from './cloud.js';
-import { planSteps, type Step } from './plan.js';
-import { readMachineRecord, writeMachineRecord, type MachineRecord, type Summary } from './records.js';
+import { planSteps, type Moving, type Step } from './plan.js';
+import {
+  readMachineRecord,
+  writeMachineRecord,
+  type Hold,
+  type MachineRecord,
+  type Move,
+  type Summary,
+} from './records.js';
 
 export interface LeaderInput {
   readonly store: Store;
@@ -29,7 +38,7 @@
   /** The revision of our claim to lead, if we may act on it now. */
   readonly entitled: () => number | null;
   readonly summaries: () => readonly Summary[];
-  readonly move: (from: number, machine: string, to: number) => Effect.Effect<unknown>;
+  readonly move: (from: number, moves: readonly Move[]) => Effect.Effect<unknown>;
   readonly now: () => number;
   readonly wall: () => number;
 }
@@ -44,12 +53,20 @@
   /** Summaries older than this revision don't know of machines rented since. */
   private readonly rentedAt = new Map<number, number>();
   private readonly adopting = new Map<string, MachineRecord>();
+  /** What machines are being gathered for; the shares hear of it with the beats. */
+  holds: readonly Hold[] = [];
+  private plannedAt = 0;
+  /** Moves ordered lately, with the time (ms): until the new share's summary shows them they are neither here nor
+   *  there, and what they were gathered for would be given up for another zone. */
+  private readonly moving = new Map<string, { readonly move: Moving; readonly at: number }>();
+  /** Kinds of machines that are being rented this very moment. */
+  private readonly renting = new Set<string>();
 
   constructor(private readonly input: LeaderInput) {}
 
   /** A worker that no record knows reported somewhere. */
-  adopt(id: string, type: string, zone: string, spot: boolean): void {
-    if (this.input.mirror.get(machineKey(id)) || this.adopting.has(id)) return;
+  adopt(id: string, type: string, zone: string, spot: boolean, at = 0): void {
+    if (this.input.mirror.get(machineKey(id)) !== undefined || this.adopting.has(id)) return;
     const released = this.releasedAt.get(id);
     if (released !== undefined) return;
     this.adopting.set(id, {
@@ -57,7 +74,9 @@
       type,
       zone,
       spot,
-      at: this.input.wall(),
+      // By a report its age is not known, and a late copy may speak of a machine long gone: it is not taken for
+      // one that boots, and goes back if it is not heard from within a lease.
+      at,
       releasing: false,
       addr: '',
       session: 0,
@@ -79,21 +98,34 @@
     return best;
   }
 
-  readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
-    for (;;) {
-      yield* Effect.sleep(LEADER_TICK_MS);
-      yield* this.readCatalog();
-      const claim = this.input.entitled();
-      if (claim === null || !this.input.mirror.ready) {
-        this.adopting.clear();
-        continue;
+  /** Repeats what only the leader does, as long as this node leads. */
+  private duty(work: (claim: number) => Effect.Effect<void>): Effect.Effect<never> {
+    return Effect.gen({ self: this }, function* () {
+      for (;;) {
+        yield* Effect.sleep(LEADER_TICK_MS);
+        const claim = this.input.entitled();
+        if (claim !== null && this.input.mirror.ready) yield* work(claim);
+        else this.rest();
       }
-      yield* this.recordAdopted(claim);
-      yield* this.release(claim);
-      yield* this.readList();
-      yield* this.act(claim);
-    }
-  });
+    });
+  }
+  private rest(): void {
+    this.adopting.clear();
+    this.holds = [];
+  }
+
+  /** Side by side: a slow answer of the cloud must not hold up moves, nor a long list the releases. */
+  readonly run: Effect.Effect<unknown> = Effect.suspend(() =>
+    Effect.all(
+      [
+        this.duty((claim) => Effect.andThen(this.recordAdopted(claim), this.act(claim))),
+        this.duty((claim) => this.release(claim)),
+        this.duty(() => this.readList()),
+        Effect.forever(Effect.andThen(Effect.sleep(LEADER_TICK_MS), this.readCatalog())),
+      ],
+      { concurrency: 'unbounded' },
+    ),
+  );
 
   private readCatalog(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
@@ -125,26 +157,34 @@
   private recordAdopted(claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const batch = [...this.adopting].slice(0, this.input.store.txnOps);
-      for (const [id, record] of batch) {
-        this.adopting.delete(id);
-        if (this.input.mirror.get(machineKey(id))) continue;
-        const result = yield* this.record(claim, id, record);
-        log.info({ event: 'machine.adopted', machine: id, share: record.share, result });
-      }
+      for (const [id] of batch) this.adopting.delete(id);
+      const fresh = batch.filter(([id]) => this.input.mirror.get(machineKey(id)) === undefined);
+      if (fresh.length === 0) return;
+      const result = yield* this.record(claim, fresh);
+      log.info({ event: 'machine.adopted', machines: fresh.map(([id]) => id), result });
     });
   }
 
-  private record(claim: number, id: string, record: MachineRecord): Effect.Effect<string> {
+  /** Records of new machines, as many as fit in one transaction. */
+  private record(
+    claim: number,
+    machines: readonly (readonly [string, MachineRecord])[],
+  ): Effect.Effect<string> {
     return Effect.gen({ self: this }, function* () {
       const result = yield* this.input.store.txn(
         [
           { key: claimKey('L'), version: claim },
-          { key: machineKey(id), version: 0 },
+          ...machines.map(([id]) => ({ key: machineKey(id), version: 0 })),
         ],
-        [{ _tag: 'put', key: machineKey(id), value: writeMachineRecord(record) }],
-        'user',
+        machines.map(([id, record]) => ({
+          _tag: 'put',
+          key: machineKey(id),
+          value: writeMachineRecord(record),
+        })),
+        'bind',
       );
-      if (result._tag === 'committed') this.rentedAt.set(record.share, result.revision);
+      if (result._tag === 'committed')
+        for (const [, record] of machines) this.rentedAt.set(record.share, result.revision);
       return result._tag;
     });
   }
@@ -201,7 +241,13 @@
       for (const machine of listed) {
         if (machine.ageS < lagS || this.input.mirror.get(machineKey(machine.id))) continue;
         if (this.releasedAt.has(machine.id)) continue;
-        this.adopt(machine.id, machine.type, machine.zone, machine.spot);
+        this.adopt(
+          machine.id,
+          machine.type,
+          machine.zone,
+          machine.spot,
+          this.input.wall() - machine.ageS * 1000,
+        );
       }
     });
   }
@@ -210,27 +256,96 @@
     return Effect.gen({ self: this }, function* () {
       const catalog = this.input.catalog();
       if (!catalog) return;
-      const summaries = this.input
-        .summaries()
-        .filter((summary) => summary.revision >= (this.rentedAt.get(summary.share) ?? 0));
+      const summaries = this.input.summaries();
+      const behind = new Set(
+        summaries
+          .filter((summary) => summary.revision < (this.rentedAt.get(summary.share) ?? 0))
+          .map((summary) => summary.share),
+      );
+      // Machines rented for these are not recorded yet.
+      for (const record of this.adopting.values()) behind.add(record.share);
       const now = this.input.now();
-      const steps = planSteps({
+      const counts = this.countMachines();
+      for (const [id, { move, at }] of this.moving) {
+        const item = this.input.mirror.get(machineKey(id));
+        const shown = summaries.find((summary) => summary.share === move.to)?.revision ?? 0;
+        const arrived =
+          item !== undefined && readMachineRecord(item.value).share === move.to && shown >= item.version;
+        if (arrived || now - at > MOVE_SHOWN_MS) this.moving.delete(id);
+      }
+      const before = this.holds.map((hold) => ({ ...hold, ageMs: hold.ageMs + now - this.plannedAt }));
+      const { steps, holds: planned } = planSteps({
         summaries,
         catalog,
         refused: (type, zone, spot) => (this.refusedUntil.get(kindKey(type, zone, spot))?.until ?? 0) > now,
+        machines: (type, zone, spot) => counts.get(kindKey(type, zone, spot)) ?? 0,
+        holds: before,
+        behind,
+        moving: [...this.moving.values()].map(({ move }) => move),
       });
+      // A share that is not to be heard for a moment does not lose what was gathered for it.
+      const unheard = before.filter(
+        (hold) =>
+          hold.ageMs < HOLD_MAX_MS &&
+          !summaries.some((summary) => summary.share === hold.share) &&
+          !planned.some((other) => other.zone === hold.zone),
+      );
+      const holds = [...planned, ...unheard];
+      for (const hold of holds) {
+        if (!this.holds.some((known) => known.job === hold.job && known.zone === hold.zone))
+          log.info({ event: 'hold.begun', ...hold });
+      }
+      this.holds = holds;
+      this.plannedAt = now;
+      const moves = new Map<number, Move[]>();
       for (const step of steps) {
-        if (step._tag === 'move' && this.input.entitled() === claim)
-          yield* this.input.move(step.from, step.machine, step.to);
+        if (step._tag !== 'move') continue;
+        const list = moves.get(step.from) ?? [];
+        moves.set(step.from, list);
+        list.push({ machine: step.machine, to: step.to });
+        const item = this.input.mirror.get(machineKey(step.machine));
+        if (item) {
+          const { type, zone, spot } = readMachineRecord(item.value);
+          this.moving.set(step.machine, {
+            move: { machine: step.machine, to: step.to, type, zone, spot },
+            at: now,
+          });
+        }
+      }
+      if (this.input.entitled() === claim) {
+        yield* Effect.forEach(moves, ([from, list]) => this.input.move(from, list), {
+          concurrency: 'unbounded',
+          discard: true,
+        });
+      }
+      for (const step of steps) {
+        if (step._tag !== 'rent') continue;
+        const key = kindKey(step.type, step.zone, step.spot);
+        // What is asked for already shows in the next summaries.
+        if (this.renting.has(key) || this.renting.size >= RENTS_AT_ONCE) continue;
+        this.renting.add(key);
+        Effect.runFork(
+          Effect.ensuring(
+            this.rent(claim, step),
+            Effect.sync(() => this.renting.delete(key)),
+          ),
+        );
       }
-      const rents = steps.filter((step) => step._tag === 'rent');
-      yield* Effect.forEach(rents, (step) => this.rent(claim, step), {
-        concurrency: RENTS_AT_ONCE,
-        discard: true,
-      });
     });
   }
 
+  /** Machines by type, zone and kind, of all shares. */
+  private countMachines(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const item of this.input.mirror.under('w/m/')) {
+      const { type, zone, spot, releasing } = readMachineRecord(item.value);
+      if (releasing) continue;
+      const key = kindKey(type, zone, spot);
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   private refuse(key: string): void {
     const before = this.refusedUntil.get(key);
     const span = Math.min(NO_CAPACITY_MAX_MS, before ? before.span * 2 : NO_CAPACITY_MS);
@@ -261,19 +376,16 @@
         case 'rented': {
           if (result.machines.length < count) this.refuse(key);
           else this.refusedUntil.delete(key);
-          for (const [index, id] of result.machines.entries()) {
-            const record = {
-              share: step.shares[index] ?? 0,
-              type,
-              zone,
-              spot,
-              at: this.input.wall(),
-              releasing: false,
-              addr: '',
-              session: 0,
-            };
-            const written = yield* this.record(claim, id, record);
-            if (written !== 'committed') this.adopting.set(id, record);
+          const at = this.input.wall();
+          const made = result.machines.map((id, index): readonly [string, MachineRecord] => [
+            id,
+            { share: step.shares[index] ?? 0, type, zone, spot, at, releasing: false, addr: '', session: 0 },
+          ]);
+          while (made.length > 0) {
+            const batch = made.splice(0, this.input.store.txnOps);
+            const written = yield* this.record(claim, batch);
+            // Without an answer they may be recorded yet; if they are, they are known before the next try.
+            if (written !== 'committed') for (const [id, record] of batch) this.adopting.set(id, record);
           }
           return;
         }
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,6 +1,6 @@
-import { HIRE_MAX, TASKS_MAX } from '../constants.js';
-import { howMany, type Catalog, type Demand, type MachineType } from '../jobs/model.js';
-import type { Need, Summary } from './records.js';
+import { HIRE_MAX, HOLD_AFTER_MS, HOLD_MAX_MS, HOLD_SINGLE_AFTER_MS, TASKS_MAX } from '../constants.js';
+import { howMany, typeAllowed, type Catalog, type Demand, type MachineType } from '../jobs/model.js';
+import type { Hold, Need, Summary, WaitingGang } from './records.js';
 
 /** What the leader does about the shares' needs: first free machines of other shares, then new ones. */
 export type Step =
@@ -20,6 +20,26 @@
   readonly catalog: Catalog;
   /** No capacity was found there lately. */
   readonly refused: (type: string, zone: string, spot: boolean) => boolean;
+  /** Machines that there are, up or coming, of all shares together. */
+  readonly machines: (type: string, zone: string, spot: boolean) => number;
+  /** Those of the last round. */
+  readonly holds: readonly Hold[];
+  /** Shares whose summary does not know yet of machines that were rented for it: nothing more is done for them,
+   *  but what is being gathered goes on. */
+  readonly behind: ReadonlySet<number>;
+  /** Machines that were lately ordered to a share whose summary does not show them yet. */
+  readonly moving: readonly Moving[];
+}
+export interface Moving {
+  readonly machine: string;
+  readonly to: number;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+export interface Plan {
+  readonly steps: readonly Step[];
+  readonly holds: readonly Hold[];
 }
 
 interface Offer {
@@ -32,10 +52,19 @@
   readonly cost: number;
 }
 
-const demand = (need: Need): Demand => ({ cpus: need.cpus, gpus: need.gpus, memoryGb: need.memoryGb });
+/** Free machines of one type, zone and kind, by name. */
+interface Pool {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly free: { id: string; share: number }[];
+}
+
+type Place = Pick<Need, 'types' | 'zone' | 'spot' | 'cpus' | 'gpus' | 'memoryGb'>;
+const demand = (need: Demand): Demand => ({ cpus: need.cpus, gpus: need.gpus, memoryGb: need.memoryGb });
 
 /** The machines that could serve a need, cheapest for each task first. */
-export const offers = (need: Need, input: PlanInput): readonly Offer[] => {
+export const offers = (need: Need, input: Pick<PlanInput, 'catalog' | 'refused'>): readonly Offer[] => {
   const list: Offer[] = [];
   for (const type of input.catalog.values()) {
     if (need.types !== null && !need.types.includes(type.name)) continue;
@@ -60,87 +89,238 @@
   );
 };
 
-export const planSteps = (input: PlanInput): readonly Step[] => {
-  const steps: Step[] = [];
-  const spares = new Map<string, { share: number; type: string; zone: string; spot: boolean }>();
+const poolsOf = (input: PlanInput): readonly Pool[] => {
+  const pools = new Map<string, Pool>();
+  const moving = new Set(input.moving.map((machine) => machine.machine));
   for (const summary of input.summaries) {
-    for (const spare of summary.spares)
-      spares.set(spare.id, { share: summary.share, type: spare.type, zone: spare.zone, spot: spare.spot });
+    for (const spare of summary.spares) {
+      const type = input.catalog.get(spare.type);
+      if (!type || moving.has(spare.id)) continue;
+      const key = `${spare.type}|${spare.zone}|${spare.spot}`;
+      const pool = pools.get(key) ?? { type, zone: spare.zone, spot: spare.spot, free: [] };
+      pools.set(key, pool);
+      pool.free.push({ id: spare.id, share: summary.share });
+    }
   }
-  const all = input.summaries
-    .flatMap((summary) => summary.needs.map((need) => ({ share: summary.share, need })))
-    .sort((a, b) => b.need.priority - a.need.priority || b.need.waitedMs - a.need.waitedMs);
-
-  for (const { share, need } of all) {
-    // A one-zone gang needs its machines in one zone: complete the zone that lacks least.
-    const groups = need.gang && need.oneZone ? need.sizes : [need.tasks];
-    const room = { ...need.room };
-    for (const size of groups) {
-      let missing = size;
-      let zone: string | null = null;
-      if (need.gang && need.oneZone) {
-        const reach = new Map<string, number>();
-        for (const offer of offers(need, input)) reach.set(offer.zone, 0);
-        for (const spare of spares.values()) {
-          if (fitsSpare(need, spare, input) > 0)
-            reach.set(spare.zone, (reach.get(spare.zone) ?? 0) + fitsSpare(need, spare, input));
-        }
-        let best: { zone: string; lack: number } | null = null;
-        for (const [name, spareRoom] of [...reach].sort(([a], [b]) => (a < b ? -1 : 1))) {
-          const lack = size - (room[name] ?? 0) - spareRoom;
-          if (!best || lack < best.lack) best = { zone: name, lack };
+  const list = [...pools].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, pool]) => pool);
+  for (const pool of list) pool.free.sort((a, b) => (a.id < b.id ? -1 : 1));
+  return list;
+};
+
+/** Tasks of the need on one machine of the pool. */
+const fitsPool = (need: Place, tasks: number, pool: Pick<Pool, 'type' | 'zone' | 'spot'>): number => {
+  if ((pool.spot && !need.spot) || (need.zone !== null && need.zone !== pool.zone)) return 0;
+  if (need.types !== null && !need.types.includes(pool.type.name)) return 0;
+  return howMany(demand(need), pool.type, tasks);
+};
+
+const holdOf = (
+  need: Need,
+  share: number,
+  gang: WaitingGang,
+  zone: string,
+  before: Hold | undefined,
+): Hold => ({
+  share,
+  job: gang.job,
+  zone,
+  spot: need.spot,
+  types: need.types,
+  cpus: need.cpus,
+  gpus: need.gpus,
+  memoryGb: need.memoryGb,
+  tasks: gang.tasks,
+  priority: need.priority,
+  ageMs: before?.zone === zone ? before.ageMs : 0,
+});
+
+class Planner {
+  readonly steps: Step[] = [];
+  readonly holds: Hold[] = [];
+  private readonly pools: readonly Pool[];
+  constructor(private readonly input: PlanInput) {
+    this.pools = poolsOf(input);
+  }
+
+  private reach(need: Need, share: number, zone: string): number {
+    let room = 0;
+    for (const pool of this.pools) {
+      if (pool.zone !== zone) continue;
+      const fits = fitsPool(need, need.tasks, pool);
+      if (fits > 0) room += fits * pool.free.filter((machine) => machine.share !== share).length;
+    }
+    return room;
+  }
+
+  /** Moves free machines of other shares until nothing is missing or none is left; what is missing then. */
+  private gather(need: Need, share: number, zone: string | null, missing: number): number {
+    let left = missing;
+    for (const pool of this.pools) {
+      if (left <= 0) break;
+      if (zone !== null && pool.zone !== zone) continue;
+      const fits = fitsPool(need, need.tasks, pool);
+      if (fits === 0) continue;
+      for (const machine of pool.free.filter((candidate) => candidate.share !== share)) {
+        if (left <= 0) break;
+        pool.free.splice(pool.free.indexOf(machine), 1);
+        this.steps.push({ _tag: 'move', machine: machine.id, from: machine.share, to: share });
+        left -= fits;
+      }
+    }
+    return left;
+  }
+
+  private rent(need: Need, share: number, zone: string | null, missing: number): void {
+    for (const offer of offers(need, this.input)) {
+      if (zone !== null && offer.zone !== zone) continue;
+      // An ordinary machine for work that could use spot is worth its price only when filled.
+      const filled = need.spot && !offer.spot;
+      const count = Math.min(
+        HIRE_MAX,
+        filled ? Math.floor(missing / offer.whole) : Math.ceil(missing / offer.fits),
+      );
+      if (count === 0) continue;
+      this.steps.push({
+        _tag: 'rent',
+        shares: Array.from({ length: count }, () => share),
+        type: offer.type.name,
+        zone: offer.zone,
+        spot: offer.spot,
+        count,
+      });
+      // What is not to be had shows in the answer; the next round tries elsewhere.
+      return;
+    }
+  }
+
+  /** Could the zone ever hold the gang, with the machines that are there already? */
+  private couldHold(need: Need, zone: string, tasks: number): boolean {
+    let room = 0;
+    for (const type of this.input.catalog.values()) {
+      if (need.types !== null && !need.types.includes(type.name)) continue;
+      for (const spot of need.spot ? [true, false] : [false])
+        room += howMany(demand(need), type, TASKS_MAX) * this.input.machines(type.name, zone, spot);
+    }
+    return room >= tasks;
+  }
+
+  /** A one-zone gang needs its machines in one zone: complete the zone that lacks least, or begin a hold. */
+  private oneZoneGang(need: Need, share: number, gang: WaitingGang, room: Record<string, number>): void {
+    const held = this.input.holds.find((hold) => hold.share === share && hold.job === gang.job);
+    const rentable = new Set(offers(need, this.input).map((offer) => offer.zone));
+    const zones = new Set([...rentable, ...Object.keys(room), ...this.pools.map((pool) => pool.zone)]);
+    let best: { zone: string; lack: number } | null = null;
+    for (const zone of [...zones].sort()) {
+      if (need.zone !== null && need.zone !== zone) continue;
+      if (this.holds.some((hold) => hold.zone === zone && hold.job !== gang.job)) continue;
+      const lack = gang.tasks - (room[zone] ?? 0) - this.reach(need, share, zone);
+      if (lack > 0 && !rentable.has(zone)) continue;
+      if (!best || lack < best.lack) best = { zone, lack };
+    }
+    if (held && this.input.behind.has(share)) {
+      this.hold(need, share, gang, room, zones, held);
+      return;
+    }
+    if (this.input.behind.has(share)) return;
+    if (!best) {
+      this.hold(need, share, gang, room, zones, held);
+      return;
+    }
+    const have = Math.min(gang.tasks, Math.max(0, room[best.zone] ?? 0));
+    room[best.zone] = (room[best.zone] ?? 0) - have;
+    const before = gang.tasks - have;
+    const missing = this.gather(need, share, best.zone, before);
+    if (missing > 0) this.rent(need, share, best.zone, missing);
+    // What is on its way to the gang's share must not be taken there by others before the last one arrives.
+    else if (gang.tasks > 1 && (before > 0 || held))
+      this.holds.push(holdOf(need, share, gang, best.zone, held));
+  }
+
+  /** One a zone, so that two never block each other; bounded in time. */
+  private hold(
+    need: Need,
+    share: number,
+    gang: WaitingGang,
+    room: Record<string, number>,
+    zones: ReadonlySet<string>,
+    held: Hold | undefined,
+  ): void {
+    // A single task takes the first machine that comes free, unless others are gathered for all the time.
+    if (gang.waitedMs < (gang.tasks > 1 ? HOLD_AFTER_MS : HOLD_SINGLE_AFTER_MS)) return;
+    const open = (zone: string): boolean =>
+      (need.zone === null || need.zone === zone) &&
+      !this.holds.some((hold) => hold.zone === zone) &&
+      this.couldHold(need, zone, gang.tasks);
+    let zone = held && held.ageMs < HOLD_MAX_MS && open(held.zone) ? held.zone : null;
+    if (zone === null) {
+      let least = Number.POSITIVE_INFINITY;
+      const known = [...this.input.catalog.values()].flatMap((type) => type.zones);
+      const everywhere = [...new Set([...zones, ...known])].sort();
+      for (const name of everywhere) {
+        if (!open(name)) continue;
+        const lack = gang.tasks - (room[name] ?? 0) - this.reach(need, share, name);
+        if (lack < least) {
+          least = lack;
+          zone = name;
         }
-        if (!best) continue;
-        zone = best.zone;
-        const have = Math.min(size, Math.max(0, room[zone] ?? 0));
-        room[zone] = (room[zone] ?? 0) - have;
-        missing = size - have;
       }
-      for (const [id, spare] of [...spares].sort(([a], [b]) => (a < b ? -1 : 1))) {
-        if (missing <= 0) break;
-        if (spare.share === share || (zone !== null && spare.zone !== zone)) continue;
-        const fits = fitsSpare(need, spare, input);
-        if (fits === 0) continue;
-        spares.delete(id);
-        steps.push({ _tag: 'move', machine: id, from: spare.share, to: share });
-        missing -= fits;
+    }
+    if (zone === null) return;
+    this.holds.push(holdOf(need, share, gang, zone, held));
+    const have = Math.min(gang.tasks, Math.max(0, room[zone] ?? 0));
+    room[zone] = (room[zone] ?? 0) - have;
+    this.gather(need, share, zone, gang.tasks - have);
+  }
+
+  run(): Plan {
+    const wanted: { share: number; need: Need; gang: WaitingGang | null; waitedMs: number }[] = [];
+    const rooms = new Map<Need, Record<string, number>>();
+    for (const summary of this.input.summaries) {
+      for (const need of summary.needs) {
+        const room = { ...need.room };
+        for (const machine of this.input.moving) {
+          const type = this.input.catalog.get(machine.type);
+          if (machine.to === summary.share && type)
+            room[machine.zone] = (room[machine.zone] ?? 0) + fitsPool(need, need.tasks, { ...machine, type });
+        }
+        rooms.set(need, room);
+        if (need.gang && need.oneZone)
+          for (const gang of need.gangs)
+            wanted.push({ share: summary.share, need, gang, waitedMs: gang.waitedMs });
+        else wanted.push({ share: summary.share, need, gang: null, waitedMs: need.waitedMs });
       }
-      for (const offer of offers(need, input)) {
-        if (missing <= 0) break;
-        if (zone !== null && offer.zone !== zone) continue;
-        // An ordinary machine for work that could use spot is worth its price only when filled.
-        const filled = need.spot && !offer.spot;
-        const count = Math.min(
-          HIRE_MAX,
-          filled ? Math.floor(missing / offer.whole) : Math.ceil(missing / offer.fits),
-        );
-        if (count === 0) continue;
-        steps.push({
-          _tag: 'rent',
-          shares: Array.from({ length: count }, () => share),
-          type: offer.type.name,
-          zone: offer.zone,
-          spot: offer.spot,
-          count,
-        });
-        // What is not to be had shows in the answer; the next round tries elsewhere.
-        missing = 0;
+    }
+    // Gangs that machines are being gathered for keep their place, or two would take them from each other in turn.
+    const holding = (gang: WaitingGang | null): number =>
+      Number(gang !== null && this.input.holds.some((hold) => hold.job === gang.job));
+    wanted.sort(
+      (a, b) =>
+        b.need.priority - a.need.priority || holding(b.gang) - holding(a.gang) || b.waitedMs - a.waitedMs,
+    );
+    for (const { share, need, gang } of wanted) {
+      if (gang) this.oneZoneGang(need, share, gang, rooms.get(need) ?? {});
+      else if (!this.input.behind.has(share)) {
+        const missing = this.gather(need, share, null, need.tasks);
+        if (missing > 0) this.rent(need, share, null, missing);
       }
     }
+    return { steps: merge(this.steps), holds: this.holds };
   }
-  return merge(steps);
-};
+}
 
-const fitsSpare = (
-  need: Need,
-  spare: { type: string; zone: string; spot: boolean },
-  input: PlanInput,
-): number => {
-  const type = input.catalog.get(spare.type);
-  if (!type || (spare.spot && !need.spot)) return 0;
-  if (need.types !== null && !need.types.includes(spare.type)) return 0;
-  if (need.zone !== null && need.zone !== spare.zone) return 0;
-  return howMany(demand(need), type, need.tasks);
+export const planSteps = (input: PlanInput): Plan => new Planner(input).run();
+
+/** Is a machine of this type, zone and kind among those that a hold gathers? */
+export const heldBy = (
+  holds: readonly Hold[],
+  machine: { readonly type: string; readonly zone: string; readonly spot: boolean; readonly total: Demand },
+): Hold | null => {
+  for (const hold of holds) {
+    if (hold.zone !== machine.zone || (machine.spot && !hold.spot)) continue;
+    if (!typeAllowed(hold, machine.type) || howMany(demand(hold), machine.total, 1) === 0) continue;
+    return hold;
+  }
+  return null;
 };
 
 /** Rentals of one kind in one zone go in one request, for whichever shares they are. */
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -46,6 +46,37 @@
   };
 };
 
+export interface WaitingGang {
+  readonly job: string;
+  readonly tasks: number;
+  readonly waitedMs: number;
+}
+
+/**
+ * Free machines of one zone are gathered for a gang that found no zone with room: whatever comes free there, in
+ * whichever share, goes to the gang's share and is left alone by work of its priority and below.
+ */
+export interface Hold {
+  readonly share: number;
+  readonly job: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly types: readonly string[] | null;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memoryGb: number;
+  readonly tasks: number;
+  readonly priority: number;
+  /** ms since the hold began, for its bound. */
+  readonly ageMs: number;
+}
+
+/** A free machine that the leader wants in another share. */
+export interface Move {
+  readonly machine: string;
+  readonly to: number;
+}
+
 /** What a share still needs, as its holder tells the leader: one entry a class of like jobs. */
 export interface Need {
   readonly cpus: number;
@@ -59,9 +90,9 @@
   /** Worth an ordinary machine although spot ones are allowed. */
   readonly urgent: boolean;
   readonly priority: number;
-  /** Tasks in all; for gangs the sizes are listed too. */
+  /** Tasks in all; gangs are listed one by one too. */
   readonly tasks: number;
-  readonly sizes: readonly number[];
+  readonly gangs: readonly WaitingGang[];
   /** Of a one-zone gang: room that its share already has, by zone. */
   readonly room: Readonly<Record<string, number>>;
   /** ms that the oldest has waited. */
--- a/src/http.ts
+++ b/src/http.ts
@@ -91,8 +91,7 @@
         req.destroy();
       }, timeoutMs);
       req.on('error', (error) => end({ _tag: 'silence', why: error.message }));
-      if (payload) req.write(payload);
-      req.end();
+      req.end(payload);
     });
   }
 }
@@ -114,7 +113,8 @@
 export interface Call {
   readonly method: string;
   readonly path: string;
-  readonly query: URLSearchParams;
+  /** What follows the question mark, as it came. */
+  readonly query: string;
   readonly body: Body;
 }
 
@@ -158,11 +158,12 @@
         });
         res.end(payload);
       };
-      const [path, query] = (req.url ?? '/').split('?', 2);
+      const url = req.url ?? '/';
+      const mark = url.indexOf('?');
       handle({
         method: req.method ?? 'GET',
-        path: path ?? '/',
-        query: new URLSearchParams(query ?? ''),
+        path: mark < 0 ? url : url.slice(0, mark),
+        query: mark < 0 ? '' : url.slice(mark + 1),
         body: readBody(parts, size, limit),
       }).then(send, (error: unknown) => {
         failed(error);
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -3,7 +3,9 @@
 import type { Call, Reply } from '../http.js';
 import { quotaRoom, type Limit } from '../placement/pack.js';
 import type { Store } from '../store/client.js';
+import { FreshReads } from '../store/fresh.js';
 import { finalKey, jobKey } from '../store/keys.js';
+import type { Mirror } from '../store/mirror.js';
 import {
   isJobId,
   readFinalRecord,
@@ -24,11 +26,12 @@
 
 export interface ApiInput {
   readonly store: Store;
+  readonly mirror: Pick<Mirror, 'get'>;
   readonly catalog: () => Catalog | null;
   readonly zones: readonly string[];
   readonly limits: ReadonlyMap<string, Limit>;
   /** Task counts for display, from whoever holds the job's share; null: not to be had now. */
-  readonly counts: (id: string, team: string) => Promise<{ done: number; running: number } | null>;
+  readonly counts: (id: string, team: string) => { done: number; running: number } | null;
   readonly wall: () => number;
 }
 
@@ -75,7 +78,10 @@
 
 export class UsersApi {
   private readonly finals = new Map<string, FinalRecord>();
-  constructor(private readonly input: ApiInput) {}
+  private readonly fresh: FreshReads;
+  constructor(private readonly input: ApiInput) {
+    this.fresh = new FreshReads(input.store);
+  }
 
   private remember(id: string, final: FinalRecord): void {
     this.finals.set(id, final);
@@ -84,20 +90,8 @@
     if (oldest !== undefined) this.finals.delete(oldest);
   }
 
-  /** A job's record goes to its final record in one transaction, so this order of reads misses nothing. */
-  private look(id: string): Effect.Effect<Known> {
+  private readFinal(id: string): Effect.Effect<Known> {
     return Effect.gen({ self: this }, function* () {
-      const cached = this.finals.get(id);
-      if (cached) return { _tag: 'final', final: cached } as const;
-      const active = yield* this.input.store.get(jobKey(id), 'user');
-      if (active._tag === 'failed') return { _tag: 'unsure' } as const;
-      if (active._tag === 'found') {
-        return {
-          _tag: 'active',
-          record: readJobRecord(active.item.value),
-          version: active.item.version,
-        } as const;
-      }
       const final = yield* this.input.store.get(finalKey(id), 'user');
       if (final._tag === 'failed') return { _tag: 'unsure' } as const;
       if (final._tag === 'absent') return { _tag: 'never' } as const;
@@ -107,34 +101,54 @@
     });
   }
 
-  private state(id: string, known: Known): Effect.Effect<Reply> {
+  /**
+   * What is surely known of a job now. A final record never changes, so one seen before will do; everything
+   * else is read fresh, most often by confirming this node's copy. A job's record goes to its final record in
+   * one transaction, so reading final, active, final misses nothing.
+   */
+  private look(id: string): Effect.Effect<Known> {
     return Effect.gen({ self: this }, function* () {
-      switch (known._tag) {
-        case 'unsure':
-          return later;
-        case 'never':
-          return { status: 404, body: { error: `no job ${id}` } };
-        case 'final': {
-          const done = known.final.state === 'done' ? known.final.tasks : 0;
-          return { status: 200, body: writeStatus(id, known.final.state, { done, running: 0 }) };
-        }
-        case 'active': {
-          const { record } = known;
-          const counts = (yield* Effect.promise(() => this.input.counts(id, record.spec.team))) ?? {
-            done: 0,
-            running: 0,
-          };
-          const status: JobStatus = record.cancelled
-            ? 'cancelled'
-            : counts.running > 0
-              ? 'running'
-              : 'pending';
-          return { status: 200, body: writeStatus(id, status, counts) };
-        }
+      const cached = this.finals.get(id);
+      if (cached) return { _tag: 'final', final: cached } as const;
+      const copy = this.input.mirror.get(jobKey(id));
+      if (copy) {
+        const freshness = yield* this.fresh.confirm(copy.key, copy.version);
+        if (freshness === 'failed') return { _tag: 'unsure' } as const;
+        if (freshness === 'same')
+          return { _tag: 'active', record: readJobRecord(copy.value), version: copy.version } as const;
       }
+      const before = yield* this.readFinal(id);
+      if (before._tag !== 'never') return before;
+      const active = yield* this.input.store.get(jobKey(id), 'user');
+      if (active._tag === 'failed') return { _tag: 'unsure' } as const;
+      if (active._tag === 'absent') return yield* this.readFinal(id);
+      return {
+        _tag: 'active',
+        record: readJobRecord(active.item.value),
+        version: active.item.version,
+      } as const;
     });
   }
 
+  private state(id: string, known: Known): Reply {
+    switch (known._tag) {
+      case 'unsure':
+        return later;
+      case 'never':
+        return { status: 404, body: { error: `no job ${id}` } };
+      case 'final': {
+        const done = known.final.state === 'done' ? known.final.tasks : 0;
+        return { status: 200, body: writeStatus(id, known.final.state, { done, running: 0 }) };
+      }
+      case 'active': {
+        const { record } = known;
+        const counts = this.input.counts(id, record.spec.team) ?? { done: 0, running: 0 };
+        const status: JobStatus = record.cancelled ? 'cancelled' : counts.running > 0 ? 'running' : 'pending';
+        return { status: 200, body: writeStatus(id, status, counts) };
+      }
+    }
+  }
+
   private submit(value: unknown): Effect.Effect<Reply> {
     return Effect.gen({ self: this }, function* () {
       const read = readSubmission(value);
@@ -145,7 +159,7 @@
       if (!catalog || why !== null) {
         // A repeat of an accepted job is answered as such, whatever its body says.
         const known = yield* this.look(spec.id);
-        if (known._tag === 'active' || known._tag === 'final') return yield* this.state(spec.id, known);
+        if (known._tag === 'active' || known._tag === 'final') return this.state(spec.id, known);
         if (!catalog || known._tag === 'unsure') return later;
         return { status: 422, body: { error: why } };
       }
@@ -167,7 +181,7 @@
         case 'committed':
           return { status: 201, body: writeStatus(spec.id, 'pending') };
         case 'conflict':
-          return yield* this.state(spec.id, yield* this.look(spec.id));
+          return this.state(spec.id, yield* this.look(spec.id));
         case 'noLease':
         case 'refused':
         case 'unknown':
@@ -180,7 +194,7 @@
     return Effect.gen({ self: this }, function* () {
       for (let tries = 0; tries < 4; tries += 1) {
         const known = yield* this.look(id);
-        if (known._tag !== 'active' || known.record.cancelled) return yield* this.state(id, known);
+        if (known._tag !== 'active' || known.record.cancelled) return this.state(id, known);
         const result = yield* this.input.store.txn(
           [{ key: jobKey(id), version: known.version }],
           [{ _tag: 'put', key: jobKey(id), value: writeJobRecord({ ...known.record, cancelled: true }) }],
@@ -205,8 +219,6 @@
     const wanted = verb === undefined ? 'GET' : 'POST';
     if (call.method !== wanted) return Effect.succeed({ status: 405, headers: { allow: wanted } });
     if (!isJobId(id)) return Effect.succeed({ status: 404, body: { error: `no job ${id.slice(0, 64)}` } });
-    return verb === undefined
-      ? Effect.flatMap(this.look(id), (known) => this.state(id, known))
-      : this.cancel(id);
+    return verb === undefined ? Effect.map(this.look(id), (known) => this.state(id, known)) : this.cancel(id);
   }
 }
--- /dev/null
+++ b/src/mesh/detour.ts
@@ -0,0 +1,112 @@
+import * as Effect from 'effect/Effect';
+import { DETOUR_FRESH_MS, DETOUR_MS } from '../constants.js';
+import type { Hold, Move, Summary } from '../fleet/records.js';
+import { encode } from '../http.js';
+import type { Store, StoreEvent } from '../store/client.js';
+import { ordersKey, summaryKey } from '../store/keys.js';
+
+/**
+ * The slow way between a share's holder and the leader when their connections are refused: summaries and orders
+ * through the state service, few and small. Nothing here gives any right; what is done is conditional as always.
+ */
+export interface DetourInput {
+  readonly store: Store;
+  /** bytes: largest value of a key. */
+  readonly valueBytes: number;
+  readonly now: () => number;
+  /** The revision of the leader's claim. */
+  readonly leaderClaim: () => number | null;
+  /** Shares held here whose leader is another node that can't be heard. */
+  readonly cutOff: () => readonly Summary[];
+  readonly give: (slot: number, moves: readonly Move[]) => void;
+}
+
+interface Orders {
+  readonly leader: number;
+  readonly moves: readonly Move[];
+  readonly holds: readonly Hold[];
+}
+
+export class Detour {
+  private readonly heard = new Map<number, { summary: Summary; at: number }>();
+  private readonly told = new Map<number, { orders: Orders; at: number }>();
+  private readonly wroteAt = new Map<string, number>();
+  private readonly lastSaid = new Map<number, string>();
+
+  constructor(private readonly input: DetourInput) {}
+
+  onEvent(event: StoreEvent): void {
+    if (event._tag !== 'put') return;
+    const { key, value } = event.item;
+    const slot = Number(key.slice(4));
+    const at = this.input.now();
+    if (key === summaryKey(slot)) this.heard.set(slot, { summary: value as Summary, at });
+    else if (key === ordersKey(slot)) {
+      const orders = value as Orders;
+      if (orders.leader !== this.input.leaderClaim()) return;
+      this.told.set(slot, { orders, at });
+      if (orders.moves.length > 0) this.input.give(slot, orders.moves);
+    }
+  }
+
+  /** What a share's holder last said this way, if that is recent and by this very claim. */
+  summary(slot: number, claim: number): Summary | null {
+    const heard = this.heard.get(slot);
+    return heard && heard.summary.claim === claim && this.input.now() - heard.at < DETOUR_FRESH_MS
+      ? heard.summary
+      : null;
+  }
+
+  holds(slot: number): readonly Hold[] {
+    const told = this.told.get(slot);
+    return told && this.input.now() - told.at < DETOUR_FRESH_MS ? told.orders.holds : [];
+  }
+
+  private due(key: string): boolean {
+    return this.input.now() - (this.wroteAt.get(key) ?? Number.NEGATIVE_INFINITY) >= DETOUR_MS;
+  }
+
+  private write(key: string, value: unknown): Effect.Effect<unknown> {
+    this.wroteAt.set(key, this.input.now());
+    return this.input.store.txn([], [{ _tag: 'put', key, value }], 'work');
+  }
+
+  /** The leader's orders for a share whose holder it can't reach. */
+  order(slot: number, moves: readonly Move[], holds: readonly Hold[]): Effect.Effect<unknown> {
+    const leader = this.input.leaderClaim();
+    const key = ordersKey(slot);
+    if (leader === null || !this.due(key)) return Effect.void;
+    return this.write(key, { leader, moves, holds } satisfies Orders);
+  }
+
+  /** Halved until it fits: what comes first matters most. */
+  private fitting(summary: Summary): Summary {
+    let fit = summary;
+    while (encode(fit).length * 1.5 > this.input.valueBytes && fit.needs.length + fit.spares.length > 0) {
+      fit = {
+        ...fit,
+        needs: fit.needs
+          .slice(0, Math.ceil(fit.needs.length / 2))
+          .map((need) => ({ ...need, gangs: need.gangs.slice(0, 8) })),
+        spares: fit.spares.slice(0, Math.floor(fit.spares.length / 2)),
+      };
+    }
+    return fit;
+  }
+
+  readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
+    for (;;) {
+      yield* Effect.sleep(DETOUR_MS / 4);
+      for (const summary of this.input.cutOff()) {
+        const key = summaryKey(summary.share);
+        if (!this.due(key)) continue;
+        const fit = this.fitting(summary);
+        // Nothing needed and nothing to spare is said once.
+        const said = `${summary.claim}|${fit.needs.length}|${fit.spares.length}`;
+        if (fit.needs.length + fit.spares.length === 0 && this.lastSaid.get(summary.share) === said) continue;
+        this.lastSaid.set(summary.share, said);
+        yield* this.write(key, fit);
+      }
+    }
+  });
+}
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -1,7 +1,14 @@
 import * as Effect from 'effect/Effect';
-import { BEAT_FRESH_MS, BEAT_MS, MESH_TIMEOUT_MS, SOCKETS_MESH } from '../constants.js';
+import {
+  BEAT_FRESH_MS,
+  BEAT_HURRY_MS,
+  BEAT_MS,
+  BUDGET_EVEN,
+  MESH_TIMEOUT_MS,
+  SOCKETS_MESH,
+} from '../constants.js';
 import type { Sibling } from '../claims/decide.js';
-import type { Summary } from '../fleet/records.js';
+import type { Hold, Summary } from '../fleet/records.js';
 import { parseTarget, type Call, type Caller, type Callers, type Reply } from '../http.js';
 
 /** What the service's own processes say to each other: MessagePack over HTTP, on the mesh address. */
@@ -11,32 +18,62 @@
   readonly lease: number | null;
   /** ms since the state service last answered this node. */
   readonly stateAgeMs: number;
+  /** In full for the leader; for the others without needs, and with a few spares of each kind. */
   readonly summaries: readonly Summary[];
+  /** Task counts of jobs that run, for display at other nodes. */
+  readonly counts: readonly {
+    readonly slot: number;
+    readonly jobs: readonly (readonly [id: string, done: number, running: number])[];
+  }[];
   readonly deaf: boolean;
   /** Machines that lately reported here although another node holds their share: by share. */
   readonly strays: Readonly<Record<string, number>>;
+  /** What this node asks of the state service, a second. */
+  readonly demand: Demand;
+  /** The leader's: machines that are being gathered for a large gang. */
+  readonly holds: readonly Hold[];
+}
+
+export interface Demand {
+  readonly requests: number;
+  readonly changes: number;
 }
 
 interface Known {
   beat: Beat;
   at: number;
   steadySince: number;
+  /** By share and job, made when first asked for. */
+  counts: Map<number, Map<string, { done: number; running: number }>> | null;
 }
 
 export interface MeshInput {
   readonly me: string;
   readonly siblings: readonly { readonly host_name: string; readonly endpoint: string }[];
-  readonly beat: () => Beat;
+  readonly beat: (to: string) => Beat;
+  /** The node that leads, as far as this node knows; its beats are hurried. */
+  readonly leader: () => string | undefined;
   readonly now: () => number;
   readonly callers: Callers;
   /** Answers a sibling's request that is not a beat. */
   readonly answer: (path: string, body: unknown) => Promise<unknown>;
 }
 
+/**
+ * This node's part of a rate that all nodes share: half is divided evenly, half by what each asks for. A node that
+ * is not heard keeps its even part and what it last asked for.
+ */
+export const rateFor = (total: number, own: number, others: readonly number[]): number => {
+  const nodes = others.length + 1;
+  const all = others.reduce((sum, demand) => sum + demand, own);
+  const byDemand = all > 0 ? own / all : 1 / nodes;
+  return total * (BUDGET_EVEN / nodes + (1 - BUDGET_EVEN) * byDemand);
+};
+
 export class Mesh {
   private readonly clients = new Map<string, Caller>();
   private readonly known = new Map<string, Known>();
-  private wake: (() => void) | null = null;
+  private readonly wakes = new Map<string, () => void>();
 
   constructor(private readonly input: MeshInput) {
     for (const sibling of input.siblings) {
@@ -53,7 +90,12 @@
       before !== undefined &&
       before.beat.incarnation === beat.incarnation &&
       now - before.at < BEAT_FRESH_MS * 2;
-    this.known.set(beat.from, { beat, at: now, steadySince: steady ? before.steadySince : now });
+    this.known.set(beat.from, {
+      beat,
+      at: now,
+      steadySince: steady ? before.steadySince : now,
+      counts: null,
+    });
   }
 
   fresh(node: string): Beat | null {
@@ -90,6 +132,30 @@
     return [...this.clients.keys()].flatMap((node) => this.fresh(node)?.summaries ?? []);
   }
 
+  /** What each sibling last said that it asks of the state service. */
+  demands(): readonly Demand[] {
+    return [...this.clients.keys()].map(
+      (node) => this.known.get(node)?.beat.demand ?? { requests: 0, changes: 0 },
+    );
+  }
+
+  /** What a job's holder said of its tasks with its last beat; null: nothing, or not lately. */
+  counts(slot: number, id: string): { done: number; running: number } | null {
+    const now = this.input.now();
+    for (const known of this.known.values()) {
+      if (now - known.at > BEAT_FRESH_MS) continue;
+      known.counts ??= new Map(
+        known.beat.counts.map((share) => [
+          share.slot,
+          new Map(share.jobs.map(([job, done, running]) => [job, { done, running }])),
+        ]),
+      );
+      const found = known.counts.get(slot)?.get(id);
+      if (found) return found;
+    }
+    return null;
+  }
+
   strays(share: string): { readonly node: string; readonly count: number } | null {
     let best: { node: string; count: number } | null = null;
     for (const node of this.clients.keys()) {
@@ -108,32 +174,35 @@
     const body = call.body._tag === 'value' ? call.body.value : null;
     if (call.path === '/beat') {
       this.note(body);
-      return { status: 200, body: this.input.beat() };
+      const from = (body as Partial<Beat> | null)?.from;
+      return { status: 200, body: this.input.beat(typeof from === 'string' ? from : '') };
     }
     const result = await this.input.answer(call.path, body);
     return result === null ? { status: 404 } : { status: 200, body: result };
   }
 
-  /** Sends a beat soon, since something changed. */
+  /** Sends the leader a beat soon, since something changed that it decides about. */
   hurry(): void {
-    this.wake?.();
+    const leader = this.input.leader();
+    if (leader !== undefined) this.wakes.get(leader)?.();
   }
 
-  private pause(): Promise<void> {
+  private pause(node: string): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, BEAT_MS);
-      this.wake = () => {
-        this.wake = null;
+      const begun = this.input.now();
+      this.wakes.set(node, () => {
+        this.wakes.delete(node);
         clearTimeout(timer);
-        setTimeout(resolve, 50);
-      };
+        setTimeout(resolve, Math.max(0, BEAT_HURRY_MS - (this.input.now() - begun)));
+      });
     });
   }
 
   private beatTo(node: string): Effect.Effect<never> {
     return Effect.promise(async () => {
-      this.note(await this.ask(node, '/beat', this.input.beat()));
-    }).pipe(Effect.andThen(Effect.promise(() => this.pause())), Effect.forever);
+      this.note(await this.ask(node, '/beat', this.input.beat(node)));
+    }).pipe(Effect.andThen(Effect.promise(() => this.pause(node))), Effect.forever);
   }
 
   get run(): Effect.Effect<unknown> {
--- /dev/null
+++ b/src/placement/asks.ts
@@ -0,0 +1,183 @@
+import {
+  ASK_TASKS,
+  FETCH_GUESS_S,
+  ORDINARY_AFTER_GUARANTEED_S,
+  ORDINARY_AFTER_S,
+  RESERVED_IDLE,
+} from '../constants.js';
+import { heldBy } from '../fleet/plan.js';
+import type { Hold } from '../fleet/records.js';
+import { fitsIn, typeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
+import type { Book } from './book.js';
+import type { Custody } from './custody.js';
+import { order, type Ask, type Room, type Use } from './pack.js';
+import { bindingKey, isFinished, type Free, type ShareJob, type ShareMachine } from './state.js';
+import { tier, urgency, type Objectives } from './urgency.js';
+
+/** What waits and where there is room, read from the book for one round. Changes nothing but the cached room. */
+export interface ViewInput {
+  readonly book: Book;
+  readonly custody: Custody;
+  readonly catalog: Catalog;
+  readonly scarce: (type: string) => boolean;
+  readonly guarantees: ReadonlyMap<string, Use>;
+  readonly objectives: ReadonlyMap<string, Objectives>;
+  readonly holds: readonly Hold[];
+  readonly now: number;
+  readonly wall: number;
+}
+
+/** What each team has on machines: everything bound, which includes whatever is not proven gone. */
+export const usesOf = (book: Book): Map<string, Use> => {
+  const uses = new Map<string, Use>();
+  for (const job of book.jobs.values()) {
+    const tasks = job.bindings.size;
+    if (tasks === 0) continue;
+    const use = uses.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+    use.cpus += job.spec.cpus * tasks;
+    use.gpus += job.spec.gpus * tasks;
+    uses.set(job.spec.team, use);
+  }
+  return uses;
+};
+
+const freeOf = (book: Book, machine: ShareMachine): Free => {
+  let { cpus, gpus, memoryGb } = machine.total;
+  const subtract = (jobId: string): boolean => {
+    const spec = book.jobs.get(jobId)?.spec;
+    if (!spec) return false;
+    cpus -= spec.cpus;
+    gpus -= spec.gpus;
+    memoryGb -= spec.memoryGb;
+    return true;
+  };
+  let clear = true;
+  for (const binding of machine.bound.values()) if (!subtract(binding.job)) clear = false;
+  for (const task of machine.reported) {
+    if (task.state._tag === 'exited' || machine.bound.has(bindingKey(task.job, task.index, task.attempt)))
+      continue;
+    // On the machine, but not ours any more: it is being stopped, and its room is not free yet.
+    if (!subtract(task.job)) clear = false;
+  }
+  return clear ? { _tag: 'free', cpus, gpus, memoryGb } : { _tag: 'unclear' };
+};
+
+/**
+ * Ordinary machines that some job can't do without are held back from work that can use spot: where that
+ * work has other types to go to, always; where it has none, as long as it would take one of the last idle.
+ */
+const keptForOthers = (machine: ShareMachine, idle: number, input: ViewInput): Room['kept'] => {
+  if (machine.spot || !input.scarce(machine.type)) return 'no';
+  if (input.catalog.size > 1) return 'always';
+  return machine.bound.size === 0 && idle <= RESERVED_IDLE ? 'reserve' : 'no';
+};
+
+export const roomsOf = (input: ViewInput): Room[] => {
+  const { book, custody } = input;
+  const rooms: Room[] = [];
+  let idle = 0;
+  for (const machine of book.machines.values())
+    if (!machine.spot && !machine.releasing && custody.idle(machine)) idle += 1;
+  for (const machine of book.machines.values()) {
+    if (
+      machine.releasing ||
+      machine.cordoned ||
+      machine.noticeAt !== null ||
+      machine.health._tag !== 'fine' ||
+      machine.raiseToken
+    )
+      continue;
+    const live = custody.live(machine);
+    if (!live && !custody.expected(machine)) continue;
+    machine.free ??= freeOf(book, machine);
+    const { free } = machine;
+    if (free._tag === 'unclear') continue;
+    // Only what is wholly free is gathered: the rest may serve small work while it lasts.
+    const held = machine.bound.size === 0 ? heldBy(input.holds, machine) : null;
+    rooms.push({
+      id: machine.id,
+      type: machine.type,
+      zone: machine.zone,
+      spot: machine.spot,
+      total: machine.total,
+      free: { cpus: free.cpus, gpus: free.gpus, memoryGb: free.memoryGb },
+      images: machine.images,
+      live,
+      kept: keptForOthers(machine, idle, input),
+      held,
+    });
+  }
+  return rooms;
+};
+
+/** The shortest nominal boot among the types that the job may use. */
+const bootS = (spec: JobSpec, catalog: Catalog): number => {
+  let least = Number.POSITIVE_INFINITY;
+  for (const type of catalog.values()) {
+    if (typeAllowed(spec, type.name) && fitsIn(spec, type)) least = Math.min(least, type.bootS);
+  }
+  return Number.isFinite(least) ? least : 0;
+};
+
+const waitingTasks = (job: ShareJob): readonly number[] => {
+  const waiting: number[] = [];
+  // Enough for any limit; a job of 100,000 tasks need not be walked whole each round.
+  while (job.done.has(job.firstOpen)) job.firstOpen += 1;
+  for (let index = job.firstOpen; index < job.spec.tasks && waiting.length < ASK_TASKS; index += 1) {
+    if (!job.done.has(index) && !job.bindings.has(index)) waiting.push(index);
+  }
+  return waiting;
+};
+
+const inZones = (job: ShareJob, book: Book): ReadonlyMap<string, number> => {
+  const zones = new Map<string, number>();
+  // Only these two look at where the other tasks are.
+  if (!job.spec.oneZone && !job.spec.spread) return zones;
+  for (const binding of job.bindings.values()) {
+    const zone = book.machines.get(binding.machine)?.zone;
+    if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+  }
+  return zones;
+};
+
+export const asksOf = (input: ViewInput): readonly Ask[] => {
+  const { book, now, wall } = input;
+  const asks: Ask[] = [];
+  const ahead = new Map<string, Use>();
+  for (const job of [...book.jobs.values()].sort((a, b) => a.at - b.at)) {
+    const { spec } = job;
+    const use = ahead.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    const left = spec.tasks - job.done.size;
+    use.cpus += spec.cpus * left;
+    use.gpus += spec.gpus * left;
+    ahead.set(spec.team, use);
+    if (job.cancelled || job.finishing || job.writing > 0 || now < job.backoffUntil) continue;
+    if (job.bindings.size >= left || isFinished(job)) continue;
+    if (spec.kind === 'gang' && job.bindings.size > 0) continue;
+    const waiting = waitingTasks(job);
+    if (waiting.length === 0) continue;
+    const guarantee = input.guarantees.get(spec.team);
+    const objectives = input.objectives.get(spec.klass);
+    const waitedS = (wall - job.at) / 1000;
+    const withinGuarantee =
+      guarantee !== undefined &&
+      use.gpus <= guarantee.gpus &&
+      (guarantee.cpus === 0 || use.cpus <= guarantee.cpus);
+    const pressing = urgency(spec, objectives, waitedS, bootS(spec, input.catalog), FETCH_GUESS_S);
+    asks.push({
+      job: spec.id,
+      spec,
+      waiting,
+      inZones: inZones(job, book),
+      failedOn: job.failedOn,
+      at: job.at,
+      tier: tier(objectives, waitedS),
+      urgency: pressing,
+      ordinary:
+        pressing.place || waitedS > (withinGuarantee ? ORDINARY_AFTER_GUARANTEED_S : ORDINARY_AFTER_S),
+      withinGuarantee,
+      gathering: input.holds.some((hold) => hold.job === spec.id),
+    });
+  }
+  return order(asks);
+};
--- /dev/null
+++ b/src/placement/book.ts
@@ -0,0 +1,246 @@
+import { JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS, JOB_ERRORS, SETTLE_EXTRA_S, SUSPECT_MS } from '../constants.js';
+import type { MachineRecord } from '../fleet/records.js';
+import type { Demand, JobRecord } from '../jobs/model.js';
+import { log } from '../log.js';
+import { chunkOf } from './records.js';
+import {
+  bindingKey,
+  isFinished,
+  type Binding,
+  type ShareJob,
+  type ShareMachine,
+  type Stop,
+} from './state.js';
+import { nextPhase, onMachine, type Gone, type Phase, type PhaseEvent } from './task.js';
+
+export interface BookInput {
+  readonly now: () => number;
+  /** Something changed that a round should look at. */
+  readonly poke: () => void;
+}
+
+/** Jobs, machines and bindings of one share, and the one place where a binding changes its state. */
+export class Book {
+  readonly jobs = new Map<string, ShareJob>();
+  readonly machines = new Map<string, ShareMachine>();
+  /** Bindings whose stop is to go out directly. */
+  readonly stops = new Set<Binding>();
+
+  constructor(private readonly input: BookInput) {}
+
+  addMachine(id: string, record: MachineRecord, version: number, total: Demand): ShareMachine {
+    const machine: ShareMachine = {
+      id,
+      type: record.type,
+      zone: record.zone,
+      spot: record.spot,
+      version,
+      since: record.at,
+      releasing: record.releasing,
+      cordoned: false,
+      addr: record.addr,
+      session: 0,
+      seq: 0,
+      confirmedToken: 0,
+      tookOurToken: false,
+      takenAt: this.input.now(),
+      unconfirmedSince: null,
+      answeredAt: null,
+      noticeAt: null,
+      noticeS: null,
+      unsureRuns: new Map(),
+      answering: 0,
+      reported: [],
+      forgetFrom: null,
+      bound: new Map(),
+      images: new Set(),
+      health: { _tag: 'fine' },
+      idleSince: null,
+      total,
+      free: null,
+      raiseToken: false,
+    };
+    this.machines.set(id, machine);
+    return machine;
+  }
+
+  dropMachine(machine: ShareMachine, how: Gone): void {
+    for (const binding of [...machine.bound.values()]) this.apply(binding, { _tag: 'lost', how });
+    this.machines.delete(machine.id);
+    this.input.poke();
+  }
+
+  adoptJob(record: JobRecord, version: number): ShareJob {
+    let job = this.jobs.get(record.spec.id);
+    if (!job) {
+      job = {
+        spec: record.spec,
+        at: record.at,
+        version,
+        cancelled: false,
+        done: new Set(),
+        firstOpen: 0,
+        bindings: new Map(),
+        attempt: 0,
+        chunks: new Map(),
+        failedOn: new Set(),
+        errors: 0,
+        backoffUntil: 0,
+        proven: false,
+        finishing: false,
+        finishAlone: false,
+        writing: 0,
+      };
+      this.jobs.set(record.spec.id, job);
+    }
+    job.version = version;
+    if (record.cancelled && !job.cancelled) {
+      job.cancelled = true;
+      for (const binding of job.bindings.values()) this.stop(binding, 'cancelled', 0);
+    }
+    return job;
+  }
+
+  bind(job: ShareJob, index: number, attempt: number, machine: ShareMachine, phase: Phase): Binding {
+    const binding: Binding = {
+      job: job.spec.id,
+      index,
+      attempt,
+      machine: machine.id,
+      phase,
+      stop: null,
+      seen: null,
+      boundAt: this.input.now(),
+      runningAt: null,
+      asked: 0,
+    };
+    job.bindings.set(index, binding);
+    machine.bound.set(bindingKey(job.spec.id, index, attempt), binding);
+    machine.free = null;
+    return binding;
+  }
+
+  /** Takes back a bind that surely was not carried out. */
+  unbind(binding: Binding): void {
+    const machine = this.machines.get(binding.machine);
+    if (machine) {
+      machine.bound.delete(bindingKey(binding.job, binding.index, binding.attempt));
+      machine.free = null;
+    }
+    const job = this.jobs.get(binding.job);
+    if (job?.bindings.get(binding.index) === binding) job.bindings.delete(binding.index);
+  }
+
+  stop(binding: Binding, reason: Stop['reason'], graceS: number): void {
+    if (binding.stop && binding.stop.graceS <= graceS) return;
+    binding.stop = { reason, graceS, since: this.input.now() };
+    if (onMachine(binding.phase)) this.stops.add(binding);
+    this.input.poke();
+  }
+
+  graceOf(job: ShareJob): number {
+    return job.spec.checkpointS > 0 ? job.spec.saveS + SETTLE_EXTRA_S : 0;
+  }
+
+  /** A gang that lost a member is stopped whole and waits again, free to go anywhere. */
+  breakGang(job: ShareJob): void {
+    for (const binding of job.bindings.values()) this.stop(binding, 'broken', 0);
+  }
+
+  /** Work that can be saved leaves a machine that is about to go; the rest may still finish in time. */
+  drain(machine: ShareMachine): void {
+    for (const binding of machine.bound.values()) {
+      const job = this.jobs.get(binding.job);
+      if (!job || binding.stop || this.graceOf(job) === 0) continue;
+      if (job.spec.kind === 'gang')
+        for (const member of job.bindings.values()) this.stop(member, 'draining', this.graceOf(job));
+      else this.stop(binding, 'draining', this.graceOf(job));
+    }
+  }
+
+  apply(binding: Binding, event: PhaseEvent): void {
+    const before = binding.phase;
+    binding.phase = nextPhase(before, event);
+    if (binding.phase._tag === before._tag) return;
+    const job = this.jobs.get(binding.job);
+    if (binding.phase._tag === 'running' && binding.runningAt === null) {
+      binding.runningAt = this.input.now();
+      if (job) this.machines.get(binding.machine)?.images.add(job.spec.image);
+    }
+    log.debug({
+      event: 'task.change',
+      task: `${binding.job}/${binding.index}`,
+      attempt: binding.attempt,
+      machine: binding.machine,
+      from: before._tag,
+      to: binding.phase._tag,
+      how: binding.phase._tag === 'gone' ? binding.phase.how : undefined,
+    });
+    if (binding.phase._tag === 'gone') this.onGone(binding, binding.phase.how, job);
+  }
+
+  private onGone(binding: Binding, how: Gone, job: ShareJob | undefined): void {
+    const machine = this.machines.get(binding.machine);
+    if (machine) {
+      machine.bound.delete(bindingKey(binding.job, binding.index, binding.attempt));
+      machine.free = null;
+    }
+    this.input.poke();
+    if (!job || job.bindings.get(binding.index) !== binding) return;
+    job.bindings.delete(binding.index);
+    const chunk = job.chunks.get(chunkOf(binding.index));
+    if (chunk) chunk.dirtyFrom ??= this.input.now();
+    if (how._tag === 'exited' && how.cause === 'done' && job.spec.kind !== 'service') {
+      job.proven = true;
+      // A gang completes together: one task done means all are.
+      if (job.spec.kind === 'gang') {
+        for (let index = 0; index < job.spec.tasks; index += 1) job.done.add(index);
+        for (const other of job.bindings.values()) this.stop(other, 'finished', 0);
+      } else job.done.add(binding.index);
+      return;
+    }
+    if (how._tag === 'exited' && (how.cause === 'error' || how.cause === 'unknown'))
+      this.onError(binding, job, machine);
+    if (how._tag === 'exited' && how.cause === 'noRoom')
+      job.backoffUntil = Math.max(job.backoffUntil, this.input.now() + 1_000);
+    if (job.spec.kind === 'gang' && !isFinished(job)) this.breakGang(job);
+  }
+
+  /** A failure counts against the machine until the same job fails elsewhere too, and then against the job. */
+  private onError(binding: Binding, job: ShareJob, machine: ShareMachine | undefined): void {
+    const now = this.input.now();
+    job.errors += 1;
+    job.failedOn.add(binding.machine);
+    log.info({
+      event: 'task.failed',
+      task: `${binding.job}/${binding.index}`,
+      machine: binding.machine,
+      errors: job.errors,
+    });
+    const jobAtFault = !job.proven && job.failedOn.size >= JOB_ERRORS;
+    if (!job.proven) {
+      const pause = jobAtFault
+        ? Math.min(JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS * 2 ** Math.min(10, job.failedOn.size - JOB_ERRORS))
+        : 0;
+      job.backoffUntil = Math.max(job.backoffUntil, now + pause);
+    }
+    if (jobAtFault) {
+      for (const id of job.failedOn) {
+        const other = this.machines.get(id);
+        if (other?.health._tag === 'suspect' && other.health.job === job.spec.id)
+          other.health = { _tag: 'fine' };
+      }
+      job.failedOn.clear();
+      return;
+    }
+    if (!machine) return;
+    if (machine.health._tag === 'suspect' && machine.health.job !== job.spec.id)
+      machine.health = { _tag: 'sick' };
+    else if (machine.health._tag === 'fine') {
+      machine.health = job.proven
+        ? { _tag: 'sick' }
+        : { _tag: 'suspect', job: job.spec.id, until: now + SUSPECT_MS };
+    }
+    if (machine.health._tag === 'sick') log.info({ event: 'machine.sick', machine: machine.id });
+  }
+}
--- /dev/null
+++ b/src/placement/custody.ts
@@ -0,0 +1,189 @@
+import {
+  BOOT_FACTOR,
+  BOOT_SLACK_S,
+  BOOT_USUAL,
+  BOOT_USUAL_S,
+  CLOCK_DRIFT,
+  DEAF_REPORTS,
+  GREET_MS,
+  HELD_IDLE,
+  IDLE_BOOTS,
+  IDLE_BOOTS_MANY,
+  IDLE_RETURN_S,
+  LEASE_MARGIN_MS,
+  REBUILD_REPORTS,
+  SPOT_SILENT_REPORTS,
+} from '../constants.js';
+import type { Catalog } from '../jobs/model.js';
+import type { ShareMachine } from './state.js';
+
+/** What may be said of a share's machines from when they reported. Pure but for the clocks handed in. */
+export interface CustodyInput {
+  readonly machines: ReadonlyMap<string, ShareMachine>;
+  readonly catalog: () => Catalog | null;
+  readonly workers: { readonly lease_s: number; readonly report_s: number };
+  readonly now: () => number;
+  readonly wall: () => number;
+}
+
+export class Custody {
+  /** ms: when this holder had read the share's runs; null: not yet. */
+  loadedAt: number | null = null;
+  readonly deafMs: number;
+  readonly rebuildMs: number;
+  private readonly spotSilentMs: number;
+  /** The full lease, with drift, that this holder must see pass after its last answer. */
+  readonly leaseMs: number;
+
+  constructor(private readonly input: CustodyInput) {
+    const reportMs = input.workers.report_s * 1000;
+    this.deafMs = reportMs * DEAF_REPORTS;
+    this.rebuildMs = reportMs * REBUILD_REPORTS;
+    this.spotSilentMs = reportMs * SPOT_SILENT_REPORTS;
+    this.leaseMs = input.workers.lease_s * 1000 * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
+  }
+
+  private bootS(machine: ShareMachine, unknown: number): number {
+    return this.input.catalog()?.get(machine.type)?.bootS ?? unknown;
+  }
+
+  /** Never heard, and young enough that it may still come up. */
+  booting(machine: ShareMachine): boolean {
+    return (
+      machine.answeredAt === null &&
+      machine.bound.size === 0 &&
+      this.input.wall() - machine.since < (this.bootS(machine, 60) * BOOT_FACTOR + BOOT_SLACK_S) * 1000
+    );
+  }
+
+  /** Still within the time in which a machine usually comes up: its room counts as coming. */
+  expected(machine: ShareMachine): boolean {
+    // It came from another share, where it was up and free: its worker is just being told.
+    if (machine.addr !== '' && machine.answeredAt === null && machine.confirmedToken === 0)
+      return this.input.now() - machine.takenAt < GREET_MS;
+    return (
+      this.booting(machine) &&
+      this.input.wall() - machine.since < (this.bootS(machine, 0) * BOOT_USUAL + BOOT_USUAL_S) * 1000
+    );
+  }
+
+  silent(machine: ShareMachine): boolean {
+    const from = machine.answeredAt ?? Math.max(this.loadedAt ?? this.input.now(), machine.takenAt);
+    return this.input.now() - from > this.leaseMs;
+  }
+
+  live(machine: ShareMachine): boolean {
+    return machine.confirmedToken !== 0 && this.input.now() - (machine.answeredAt ?? 0) < this.leaseMs / 2;
+  }
+
+  idle(machine: ShareMachine): boolean {
+    return (
+      machine.confirmedToken !== 0 &&
+      machine.bound.size === 0 &&
+      machine.reported.every((task) => task.state._tag === 'exited')
+    );
+  }
+
+  /** Machines that have reported, and those that did within the last `ms`. */
+  hearing(ms: number): { readonly machines: number; readonly heard: number } {
+    const now = this.input.now();
+    let machines = 0;
+    let heard = this.loadedAt === null || now - this.loadedAt < ms ? 1 : 0;
+    for (const machine of this.input.machines.values()) {
+      if (machine.answeredAt === null && (now - machine.takenAt < ms || this.booting(machine))) continue;
+      machines += 1;
+      if (now - (machine.answeredAt ?? 0) < ms) heard += 1;
+    }
+    return { machines, heard };
+  }
+
+  /** Have the machines of a share that was taken over said what is on them, or had their time to? */
+  rebuilt(): boolean {
+    if (this.input.catalog() === null || this.loadedAt === null) return false;
+    if (this.input.now() - this.loadedAt > this.rebuildMs) return true;
+    return [...this.input.machines.values()].every(
+      (machine) => machine.confirmedToken !== 0 || machine.releasing || this.booting(machine),
+    );
+  }
+
+  /** Machines to be released now, each with the reason. Looks at each machine once. */
+  toRelease(placing: boolean): readonly { readonly machine: ShareMachine; readonly why: string }[] {
+    const now = this.input.now();
+    const list: { machine: ShareMachine; why: string }[] = [];
+    const idle = new Map<string, ShareMachine[]>();
+    let unconfirmed = 0;
+    let reporting = 0;
+    for (const machine of this.input.machines.values()) {
+      if (machine.answeredAt !== null && now - machine.answeredAt < this.leaseMs) {
+        reporting += 1;
+        if (machine.unconfirmedSince !== null) unconfirmed += 1;
+      }
+    }
+    // This node hears few of its machines, or few hear it: that speaks for a fault of its own.
+    const { machines, heard } = this.hearing(this.spotSilentMs);
+    const hears = heard * 2 >= machines;
+    const isHeard = unconfirmed * 2 <= reporting;
+    const settledIn = this.loadedAt !== null && now - this.loadedAt > this.spotSilentMs * 2;
+    for (const machine of this.input.machines.values()) {
+      if (machine.releasing) continue;
+      if (machine.answeredAt === null) {
+        if (this.silent(machine) && !this.booting(machine)) list.push({ machine, why: 'never came up' });
+        continue;
+      }
+      if (this.silent(machine)) list.push({ machine, why: 'silent' });
+      /*
+       * A spot machine that stopped reporting was most likely taken back without notice. Releasing it is proof that
+       * its tasks are gone, long before its lease would be; if it was only cut off, little is lost.
+       */
+      else if (machine.spot && hears && settledIn && now - machine.answeredAt >= this.spotSilentMs)
+        list.push({ machine, why: 'spot silent' });
+      // It reports, and yet does not take up our token for longer than its lease: it does not hear us.
+      else if (
+        machine.unconfirmedSince !== null &&
+        isHeard &&
+        now - machine.unconfirmedSince > this.leaseMs * 2
+      )
+        list.push({ machine, why: 'does not hear' });
+      else if (machine.health._tag === 'sick' && machine.bound.size === 0)
+        list.push({ machine, why: 'sick' });
+      else if (placing && machine.idleSince !== null) {
+        const key = `${machine.type}|${machine.spot}`;
+        const known = idle.get(key);
+        if (known) known.push(machine);
+        else idle.set(key, [machine]);
+      }
+    }
+    /*
+     * Holding an idle machine for about what a new one costs to bring up bounds the regret either way. That is
+     * for the next gang or two; of many idle machines, those that have been so longest go sooner.
+     */
+    for (const group of idle.values()) {
+      group.sort((a, b) => (b.idleSince ?? 0) - (a.idleSince ?? 0));
+      group.forEach((machine, rank) => {
+        const boots = rank < HELD_IDLE ? IDLE_BOOTS : IDLE_BOOTS_MANY;
+        const holdMs = Math.max(IDLE_RETURN_S, this.bootS(machine, 0) * boots) * 1000;
+        if (now - (machine.idleSince ?? now) > holdMs) list.push({ machine, why: 'idle' });
+      });
+    }
+    return list;
+  }
+
+  /** Bookkeeping of what only time changes; returns the machines whose lease is over with tasks bound. */
+  watch(): readonly ShareMachine[] {
+    const now = this.input.now();
+    const over: ShareMachine[] = [];
+    const catalog = this.input.catalog();
+    for (const machine of this.input.machines.values()) {
+      const type = catalog?.get(machine.type);
+      if (type && machine.total.cpus === 0) {
+        machine.total = type;
+        machine.free = null;
+      }
+      if (machine.health._tag === 'suspect' && now > machine.health.until) machine.health = { _tag: 'fine' };
+      if (machine.bound.size > 0 && machine.confirmedToken !== 0 && this.silent(machine)) over.push(machine);
+      if (this.idle(machine)) machine.idleSince ??= now;
+      else machine.idleSince = null;
+    }
+    return over;
+  }
+}
--- /dev/null
+++ b/src/placement/dialogue.test.ts
@@ -0,0 +1,216 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../jobs/model.js';
+import type { JobSpec } from '../jobs/model.js';
+import type { Command, Report, ReportedTask } from '../workers/model.js';
+import { Book } from './book.js';
+import { Custody } from './custody.js';
+import { Dialogue } from './dialogue.js';
+import type { ShareMachine } from './state.js';
+
+/** What reports are taken for, in which order, and what is concluded from silence: a table of short stories. */
+const LEASE_S = 20;
+const spec: JobSpec = {
+  id: 'job-1',
+  klass: 'k',
+  team: 't',
+  kind: 'gang',
+  priority: 1,
+  tasks: 2,
+  cpus: 1,
+  gpus: 1,
+  memoryGb: 1,
+  types: null,
+  zone: null,
+  oneZone: true,
+  spread: false,
+  spot: false,
+  image: 'i',
+  imageGb: 1,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+const type: MachineType = {
+  name: 'g',
+  cpus: 8,
+  gpus: 8,
+  memoryGb: 8,
+  cacheGb: 10,
+  price: 1,
+  spotPrice: 1,
+  bootS: 40,
+  zones: ['x'],
+};
+
+class Story {
+  now = 1_000_000;
+  readonly book = new Book({ now: () => this.now, poke: () => undefined });
+  readonly custody = new Custody({
+    machines: this.book.machines,
+    catalog: () => new Map([['g', type]]),
+    workers: { lease_s: LEASE_S, report_s: 5 },
+    now: () => this.now,
+    wall: () => this.now,
+  });
+  readonly dialogue = new Dialogue({
+    book: this.book,
+    claim: 50,
+    now: () => this.now,
+    leaseMs: this.custody.leaseMs,
+    loaded: () => true,
+    placing: () => true,
+    lost: () => false,
+    poke: () => undefined,
+    direct: () => new Promise(() => undefined),
+  });
+  readonly job = this.book.adoptJob({ spec, at: 0, cancelled: false }, 1);
+  readonly machines: readonly ShareMachine[];
+
+  constructor() {
+    this.custody.loadedAt = this.now;
+    this.machines = ['m-0', 'm-1'].map((id) => this.machine(id, this.now));
+  }
+  machine(id: string, since: number, spot = false): ShareMachine {
+    return this.book.addMachine(
+      id,
+      { share: 0, type: 'g', zone: 'x', spot, at: since, releasing: false, addr: '', session: 0 },
+      40,
+      type,
+    );
+  }
+  bind(): void {
+    this.machines.forEach((machine, index) => {
+      const binding = this.book.bind(this.job, index, 1, machine, { _tag: 'binding' });
+      this.book.apply(binding, { _tag: 'durable' });
+    });
+  }
+  report(id: string, seq: number, over: Partial<Report> = {}): boolean {
+    const report: Report = {
+      machine: id,
+      addr: 'a:1',
+      type: 'g',
+      zone: 'x',
+      spot: false,
+      session: 1,
+      seq,
+      token: 50,
+      noticeS: null,
+      tasks: [],
+      ...over,
+    };
+    if (this.dialogue.onReport(report) === null) return false;
+    this.last = this.dialogue.orders(report)?.commands ?? [];
+    return true;
+  }
+  last: readonly Command[] = [];
+  at(index: number): string {
+    return this.job.bindings.get(index)?.phase._tag ?? 'none';
+  }
+  releases(): readonly string[] {
+    this.custody.watch();
+    return this.custody.toRelease(true).map(({ machine, why }) => `${machine.id} ${why}`);
+  }
+}
+const running: readonly ReportedTask[] = [{ job: 'job-1', index: 0, attempt: 1, state: { _tag: 'running' } }];
+
+const stories: readonly { name: string; run: (story: Story) => void }[] = [
+  {
+    name: 'a late copy of a report is not the newest word, whatever its age',
+    run: (story) => {
+      story.bind();
+      assert.ok(story.report('m-0', 7, { tasks: running }));
+      for (const seq of [7, 6, 1]) assert.equal(story.report('m-0', seq), false);
+      assert.equal(story.at(0), 'running', 'absence in an old list is no evidence');
+      assert.ok(story.report('m-0', 1, { session: 2 }));
+      assert.equal(story.report('m-0', 9, { tasks: running }), false, 'nor is one of an earlier session');
+      assert.equal(story.at(0), 'none');
+    },
+  },
+  {
+    name: 'to a new holder a late copy may come first: it proves nothing and confirms nothing',
+    run: (story) => {
+      story.bind();
+      assert.ok(story.report('m-0', 3, { token: 44 }));
+      assert.equal(story.at(0), 'bound');
+      assert.equal(story.machines[0]?.confirmedToken, 0, 'no work goes there yet');
+      assert.ok(story.report('m-0', 9, { token: 44, session: 2, tasks: [] }));
+      assert.equal(story.at(0), 'bound', 'a session that the former holder may still command proves nothing');
+      assert.ok(story.report('m-0', 10, { session: 2, tasks: running }));
+      assert.equal(story.at(0), 'running');
+    },
+  },
+  {
+    name: 'a machine that starts nothing of what it is told does not hear: its gang goes elsewhere',
+    run: (story) => {
+      story.report('m-0', 1);
+      story.bind();
+      for (let seq = 2; seq <= 4; seq += 1) {
+        story.report('m-0', seq);
+        assert.deepEqual(
+          story.last.map((command) => command._tag),
+          ['run'],
+        );
+      }
+      story.report('m-0', 5);
+      assert.deepEqual(story.last, [], 'no more of it');
+      assert.equal(story.machines[0]?.raiseToken, true, 'nothing new until it takes up a higher token');
+      assert.ok(
+        [...story.job.bindings.values()].every((binding) => binding.stop !== null),
+        'the whole gang is stopped',
+      );
+      story.report('m-0', 6);
+      assert.equal(story.at(0), 'none', 'absent after its last run: free to start elsewhere');
+    },
+  },
+  {
+    name: 'a machine whose lease ran out although we answered does not hear either',
+    run: (story) => {
+      story.bind();
+      story.report('m-0', 1, { tasks: running });
+      story.now += 5_000;
+      story.report('m-0', 2, { session: 2 });
+      assert.equal(story.at(0), 'none', 'its new session is the proof');
+      assert.equal(story.machines[0]?.raiseToken, true);
+    },
+  },
+  {
+    name: 'one that never takes up our token is released, unless most do not',
+    run: (story) => {
+      for (const machine of story.machines) story.report(machine.id, 1, { token: 44 });
+      story.now += LEASE_S * 2_500;
+      for (const machine of story.machines) story.report(machine.id, 2, { token: 44 });
+      assert.deepEqual(story.releases(), [], 'that speaks for a fault of this node');
+      story.report('m-1', 3);
+      assert.deepEqual(story.releases(), ['m-0 does not hear']);
+    },
+  },
+  {
+    name: 'a machine known only from a report that may be a late copy goes back after a lease of silence',
+    run: (story) => {
+      story.machine('m-2', 0);
+      assert.equal(story.custody.expected(story.book.machines.get('m-2') as ShareMachine), false);
+      story.now += (LEASE_S + 2) * 1_000;
+      assert.deepEqual(story.releases(), ['m-2 never came up'], 'those that boot are given their time');
+    },
+  },
+  {
+    name: 'a silent spot machine goes before its lease is over, an ordinary one after',
+    run: (story) => {
+      story.machine('m-2', story.now, true);
+      for (const id of ['m-0', 'm-1', 'm-2']) story.report(id, 1, { tasks: running });
+      story.now += 60_000;
+      for (const id of ['m-0', 'm-1', 'm-2']) story.report(id, 2, { tasks: running });
+      story.now += 17_000;
+      story.report('m-0', 3, { tasks: running });
+      assert.deepEqual(story.releases(), [], 'but not while this node hears few of its machines');
+      story.report('m-1', 3, { tasks: running });
+      assert.deepEqual(story.releases(), ['m-2 spot silent']);
+      story.now += 22_000;
+      story.report('m-0', 4, { tasks: running });
+      assert.deepEqual(story.releases(), ['m-1 silent', 'm-2 silent']);
+    },
+  },
+];
+for (const story of stories) test(`dialogue: ${story.name}`, () => story.run(new Story()));
--- /dev/null
+++ b/src/placement/dialogue.ts
@@ -0,0 +1,265 @@
+import { RUN_TRIES } from '../constants.js';
+import { log } from '../log.js';
+import type { Command, Report } from '../workers/model.js';
+import type { DirectResult } from '../workers/line.js';
+import { answer, readChanges } from '../workers/react.js';
+import type { Book } from './book.js';
+import { chunkOf } from './records.js';
+import { bindingKey, type Binding, type ShareMachine } from './state.js';
+import { onMachine } from './task.js';
+
+export interface DialogueInput {
+  readonly book: Book;
+  readonly claim: number;
+  readonly now: () => number;
+  /** ms: a worker that we answered within this time has not lost its lease if it heard us. */
+  readonly leaseMs: number;
+  /** Reports are read, but say nothing about bindings before the share's runs are loaded. */
+  readonly loaded: () => boolean;
+  readonly placing: () => boolean;
+  readonly lost: () => boolean;
+  readonly poke: () => void;
+  readonly direct: (
+    addr: string,
+    token: number,
+    session: number,
+    commands: readonly Command[],
+  ) => Promise<DirectResult>;
+}
+
+const keyOf = (binding: Binding): string => bindingKey(binding.job, binding.index, binding.attempt);
+
+/** What the workers of a share say, and what they are told. */
+export class Dialogue {
+  constructor(private readonly input: DialogueInput) {}
+
+  token(machine: ShareMachine): number {
+    return Math.max(this.input.claim, machine.version);
+  }
+
+  /** null: an older message than one already seen, a late copy, or one that knows a higher token than ours. */
+  onReport(report: Report): { readonly hurry: boolean } | null {
+    const { book } = this.input;
+    const machine = book.machines.get(report.machine);
+    if (!machine) return null;
+    const token = this.token(machine);
+    if (report.token > token) return null;
+    if (report.session < machine.session || (report.session === machine.session && report.seq <= machine.seq))
+      return null;
+    const now = this.input.now();
+    const underToken = report.token === token;
+    const answeredLately = machine.answeredAt !== null && now - machine.answeredAt < this.input.leaseMs;
+    const forgotUs = machine.session > 0 && report.session > machine.session && answeredLately;
+    const changes = this.input.loaded()
+      ? readChanges(machine, report, underToken, (key) => this.mayBeLate(machine, key, report.token))
+      : [];
+    this.noteSeen(machine, report);
+    const wasConfirmed = machine.confirmedToken !== 0;
+    machine.session = report.session;
+    machine.seq = report.seq;
+    machine.addr = report.addr;
+    machine.confirmedToken = underToken ? token : 0;
+    machine.tookOurToken ||= underToken;
+    machine.unconfirmedSince = underToken ? null : (machine.unconfirmedSince ?? now);
+    machine.answeredAt = now;
+    machine.reported = report.tasks;
+    machine.free = null;
+    if (report.noticeS !== null && machine.noticeAt === null) {
+      machine.noticeAt = now;
+      log.info({ event: 'machine.notice', machine: machine.id, noticeS: report.noticeS });
+    }
+    machine.noticeS = report.noticeS;
+    const bound = machine.bound.size;
+    for (const change of changes) book.apply(change.binding, change.event);
+    if (forgotUs) this.mute(machine, 'its lease ran out although we answered');
+    else this.checkHeard(machine);
+    if (machine.noticeAt !== null) book.drain(machine);
+    if (machine.confirmedToken !== 0 && !wasConfirmed) this.input.poke();
+    // Room came free, or the machine came: what is placed on it next can travel in this very answer.
+    const hurry = this.input.placing() && (machine.bound.size < bound || (underToken && !wasConfirmed));
+    return { hurry };
+  }
+
+  /** A `run` that went out with several answers and shows in no report after them was not heard. */
+  private checkHeard(machine: ShareMachine): void {
+    for (const binding of machine.bound.values()) {
+      if (binding.phase._tag === 'bound' && !binding.stop && binding.asked >= RUN_TRIES)
+        return this.mute(machine, 'it starts nothing');
+    }
+  }
+
+  /**
+   * Its reports come, and what we say does not arrive. Nothing more goes there until it has taken up a new token,
+   * which shows that it hears; what was bound there and never seen goes elsewhere, once proven absent.
+   */
+  private mute(machine: ShareMachine, why: string): void {
+    log.info({ event: 'machine.mute', machine: machine.id, why });
+    machine.raiseToken = true;
+    for (const binding of [...machine.bound.values()]) {
+      if (binding.phase._tag !== 'bound') continue;
+      const job = this.input.book.jobs.get(binding.job);
+      if (job?.spec.kind === 'gang') this.input.book.breakGang(job);
+      else this.input.book.stop(binding, 'broken', 0);
+    }
+    this.input.poke();
+  }
+
+  /** May a direct `run` of this attempt still be carried out, as far as a worker with this token goes? */
+  private mayBeLate(machine: ShareMachine, key: string, seenToken: number): boolean {
+    const token = machine.unsureRuns.get(key);
+    if (token === undefined) return false;
+    if (seenToken <= token) return true;
+    machine.unsureRuns.delete(key);
+    return false;
+  }
+
+  private noteSeen(machine: ShareMachine, report: Report): void {
+    for (const task of report.tasks) {
+      const binding = machine.bound.get(bindingKey(task.job, task.index, task.attempt));
+      const seen = binding?.seen;
+      if (!binding) continue;
+      if (
+        seen &&
+        (seen.session > report.session || (seen.session === report.session && seen.seq >= report.seq))
+      )
+        continue;
+      binding.seen = { session: report.session, seq: report.seq };
+    }
+  }
+
+  private byMachine(bindings: Iterable<Binding>): ReadonlyMap<ShareMachine, Binding[]> {
+    const lists = new Map<ShareMachine, Binding[]>();
+    for (const binding of bindings) {
+      const machine = this.input.book.machines.get(binding.machine);
+      if (!machine || machine.addr === '' || machine.confirmedToken === 0) continue;
+      const list = lists.get(machine);
+      if (list) list.push(binding);
+      else lists.set(machine, [binding]);
+    }
+    return lists;
+  }
+
+  /**
+   * Stops go out directly too: all members of a gang must hear of an orderly stop within the time that its
+   * tasks wait for each other, and reports alone may take as long. A late copy stops only what is to stop anyway.
+   */
+  sendStops(): void {
+    const { stops } = this.input.book;
+    if (stops.size === 0) return;
+    const waiting = [...stops].filter((binding) => binding.stop && onMachine(binding.phase));
+    stops.clear();
+    for (const [machine, list] of this.byMachine(waiting)) {
+      const commands = list.map((binding): Command => ({
+        _tag: 'stop',
+        job: binding.job,
+        index: binding.index,
+        attempt: binding.attempt,
+        graceS: binding.stop?.graceS ?? 0,
+      }));
+      void this.input.direct(machine.addr, this.token(machine), machine.session, commands).then((result) => {
+        if (result._tag === 'executed') this.onDirectReport(machine, result.report);
+      });
+    }
+  }
+
+  /** Sends the `run`s of freshly bound tasks straight to their machines instead of waiting for reports. */
+  sendRuns(bindings: readonly Binding[]): void {
+    const fresh = bindings.filter((binding) => binding.phase._tag === 'bound' && !binding.stop);
+    for (const [machine, list] of this.byMachine(fresh)) {
+      if (machine.answering > 0) continue;
+      const token = this.token(machine);
+      for (const binding of list) machine.unsureRuns.set(keyOf(binding), token);
+      const commands = list.map((binding): Command => ({
+        _tag: 'run',
+        job: binding.job,
+        index: binding.index,
+        attempt: binding.attempt,
+      }));
+      void this.input.direct(machine.addr, token, machine.session, commands).then((result) => {
+        switch (result._tag) {
+          case 'executed':
+          case 'refused':
+            for (const binding of list) {
+              const key = keyOf(binding);
+              if (machine.unsureRuns.get(key) === token) machine.unsureRuns.delete(key);
+            }
+            if (result._tag === 'executed') this.onDirectReport(machine, result.report);
+            return;
+          case 'unsure':
+            machine.raiseToken = true;
+            log.info({ event: 'direct.unsure', machine: machine.id, tasks: list.length });
+            this.input.poke();
+        }
+      });
+    }
+  }
+
+  /**
+   * What a direct answer shows is there is there. What it doesn't show proves nothing: the answer to a report
+   * may be on its way at the same time.
+   */
+  private onDirectReport(machine: ShareMachine, report: Report): void {
+    const { book } = this.input;
+    if (this.input.lost() || !this.input.loaded() || book.machines.get(machine.id) !== machine) return;
+    if (report.session < machine.session) return;
+    for (const task of report.tasks) {
+      const binding = machine.bound.get(bindingKey(task.job, task.index, task.attempt));
+      const seen = binding?.seen;
+      if (!binding || (seen && seen.session === report.session && seen.seq >= report.seq)) continue;
+      book.apply(binding, { _tag: 'reported', state: task.state });
+    }
+    this.noteSeen(machine, report);
+  }
+
+  /** A machine that came from another share: its worker hears of the new token at once, not by asking around. */
+  greet(machine: ShareMachine, session: number): void {
+    const token = this.token(machine);
+    void this.input.direct(machine.addr, token, session, []).then((result) => {
+      if (
+        this.input.book.machines.get(machine.id) !== machine ||
+        this.token(machine) !== token ||
+        machine.confirmedToken !== 0
+      )
+        return;
+      if (result._tag !== 'executed' || result.report.token !== token || machine.answeredAt !== null) return;
+      machine.session = result.report.session;
+      machine.seq = result.report.seq;
+      machine.confirmedToken = token;
+      machine.tookOurToken = true;
+      machine.reported = result.report.tasks;
+      machine.free = null;
+      // Later than the last answer of any earlier holder that the worker can have accepted.
+      machine.answeredAt = this.input.now();
+      this.input.poke();
+    });
+  }
+
+  /** The commands that answer a machine's last report. */
+  orders(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null {
+    const machine = this.input.book.machines.get(report.machine);
+    if (!machine || machine.seq !== report.seq || machine.session !== report.session) return null;
+    const token = this.token(machine);
+    if (!this.input.loaded()) return { token, commands: [] };
+    const commands = answer(
+      machine,
+      report,
+      report.token === token,
+      (key, job, index) => !this.mayBeLate(machine, key, report.token) && this.settled(key, job, index),
+      this.input.now(),
+    );
+    if (commands.some((command) => command._tag === 'forget')) machine.forgetFrom = null;
+    else if (report.tasks.some((task) => task.state._tag === 'exited'))
+      machine.forgetFrom ??= this.input.now();
+    for (const command of commands) {
+      if (command._tag !== 'run') continue;
+      const binding = machine.bound.get(bindingKey(command.job, command.index, command.attempt));
+      if (binding) binding.asked += 1;
+    }
+    return { token, commands };
+  }
+
+  /** The state service no longer binds this attempt: a later holder won't start it again. */
+  settled(key: string, job: string, index: number): boolean {
+    return !(this.input.book.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false);
+  }
+}
--- /dev/null
+++ b/src/placement/needs.ts
@@ -0,0 +1,128 @@
+import { NEEDS_NAMED, SPARES_NAMED, TASKS_MAX } from '../constants.js';
+import type { Need, Spare, Summary, WaitingGang } from '../fleet/records.js';
+import { howMany, placeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
+import { packAll, type Ask, type Limit, type Room, type Use } from './pack.js';
+import type { ShareMachine } from './state.js';
+
+export interface Waiting {
+  readonly ask: Ask;
+  readonly count: number;
+}
+
+/**
+ * Demands that every type of machine holds equally often are one class to the planner: jobs whose amounts differ a
+ * little each would otherwise be as many needs, each with machines of its own.
+ */
+const needClass = (spec: JobSpec, urgent: boolean, catalog: Catalog): string =>
+  [
+    spec.kind,
+    spec.types?.join('+') ?? '*',
+    spec.zone ?? '*',
+    spec.oneZone,
+    spec.spot,
+    spec.priority,
+    urgent,
+    ...[...catalog.values()].map((type) => howMany(spec, type, TASKS_MAX)),
+  ].join('|');
+
+interface Open extends Need {
+  tasks: number;
+  gangs: WaitingGang[];
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** What is still needed once the machines that are coming are counted: one entry a class, the most urgent first. */
+export const needsOf = (
+  left: readonly Waiting[],
+  rooms: readonly Room[],
+  limits: ReadonlyMap<string, Limit>,
+  uses: Map<string, Use>,
+  catalog: Catalog,
+  wall: number,
+): readonly Need[] => {
+  const coming = packAll(
+    // What was rented for this work must count for it before it may be used, or it is rented again; what was
+    // rented for work that can use no spot must not be planned away for work that can.
+    left.map(({ ask, count }) => ({
+      ...ask,
+      waiting: ask.waiting.slice(-count),
+      ordinary: ask.urgency.rent,
+    })),
+    rooms.map((room) => (room.live || room.kept === 'always' ? room : { ...room, kept: 'no' as const })),
+    limits,
+    uses,
+  );
+  const needs = new Map<string, Open>();
+  for (const { ask, count } of coming.left) {
+    const { spec } = ask;
+    const key = needClass(spec, ask.urgency.rent, catalog);
+    const waitedMs = wall - ask.at;
+    const gang = spec.kind === 'gang' ? [{ job: spec.id, tasks: count, waitedMs }] : [];
+    const known = needs.get(key);
+    if (known) {
+      known.tasks += count;
+      known.gangs.push(...gang);
+      known.cpus = Math.max(known.cpus, spec.cpus);
+      known.gpus = Math.max(known.gpus, spec.gpus);
+      known.memoryGb = Math.max(known.memoryGb, spec.memoryGb);
+      continue;
+    }
+    if (needs.size >= NEEDS_NAMED) continue;
+    const room: Record<string, number> = {};
+    if (spec.oneZone) {
+      for (const free of rooms) {
+        if (!placeAllowed(spec, free) || (free.held && free.held.job !== ask.job)) continue;
+        room[free.zone] = (room[free.zone] ?? 0) + howMany(spec, free.free, count);
+      }
+    }
+    needs.set(key, {
+      cpus: spec.cpus,
+      gpus: spec.gpus,
+      memoryGb: spec.memoryGb,
+      types: spec.types,
+      zone: spec.zone,
+      spot: spec.spot,
+      gang: spec.kind === 'gang',
+      oneZone: spec.oneZone,
+      urgent: ask.urgency.rent,
+      priority: spec.priority,
+      tasks: count,
+      gangs: gang,
+      room,
+      waitedMs,
+    });
+  }
+  return [...needs.values()];
+};
+
+/** Free machines that may go to another share: a few of each kind, those that have been idle longest. */
+export const sparesOf = (machines: Iterable<ShareMachine>, now: number): readonly Spare[] => {
+  const kinds = new Map<string, Spare[]>();
+  for (const machine of machines) {
+    const key = `${machine.type}|${machine.zone}|${machine.spot}`;
+    const list = kinds.get(key) ?? [];
+    kinds.set(key, list);
+    list.push({
+      id: machine.id,
+      type: machine.type,
+      zone: machine.zone,
+      spot: machine.spot,
+      idleS: machine.idleSince === null ? 0 : (now - machine.idleSince) / 1000,
+    });
+  }
+  return [...kinds.values()].flatMap((list) => list.sort((a, b) => b.idleS - a.idleS).slice(0, SPARES_NAMED));
+};
+
+/** What siblings that don't lead hear: whether there is a spare of some kind, nothing of needs. */
+export const briefly = (summary: Summary): Summary => {
+  const kinds = new Set<string>();
+  const spares = summary.spares.filter((spare) => {
+    const key = `${spare.type}|${spare.zone}|${spare.spot}`;
+    if (kinds.has(key)) return false;
+    kinds.add(key);
+    return true;
+  });
+  return { ...summary, needs: [], spares };
+};
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -39,6 +39,7 @@
     tier: 0,
     urgency: { place: false, rent: false },
     ordinary: true,
+    gathering: false,
     ...rest,
   };
 };
@@ -52,6 +53,7 @@
   images: new Set(),
   live: true,
   kept: 'no',
+  held: null,
   ...over,
 });
 const LIMIT: Limit = { cpusMax: 0, gpusMax: 100 };
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -14,6 +14,8 @@
   readonly live: boolean;
   /** Held back from spot-capable work: the last idle ones while that can wait, those of scarce types always. */
   readonly kept: 'no' | 'reserve' | 'always';
+  /** Being gathered for this job: work of its priority and below leaves it alone. */
+  readonly held: { readonly job: string; readonly priority: number } | null;
 }
 
 export interface Ask {
@@ -31,6 +33,8 @@
   readonly urgency: Urgency;
   /** Work that may use spot machines may take room on ordinary ones now. */
   readonly ordinary: boolean;
+  /** Machines are being gathered for it: it goes first within its priority. */
+  readonly gathering: boolean;
 }
 
 export interface Use {
@@ -50,12 +54,12 @@
 
 /** Jobs alike in all that placement looks at are one class: decided as one. */
 export const classOf = (spec: JobSpec): string =>
+  [kindOf(spec), spec.kind === 'gang' ? spec.tasks : 0, spec.cpus, spec.gpus, spec.memoryGb].join('|');
+
+/** What of a class is not an amount. */
+const kindOf = (spec: JobSpec): string =>
   [
     spec.kind,
-    spec.kind === 'gang' ? spec.tasks : 0,
-    spec.cpus,
-    spec.gpus,
-    spec.memoryGb,
     spec.types?.join('+') ?? '*',
     spec.zone ?? '*',
     spec.oneZone ? 1 : 0,
@@ -63,6 +67,29 @@
     spec.spot ? 1 : 0,
   ].join('|');
 
+/**
+ * What found no room in this round, and with it whatever needs as much or more in the same places: rooms only
+ * shrink within a round. Jobs whose amounts differ a little each would otherwise all be tried.
+ */
+class Hopeless {
+  private readonly failed = new Map<string, { need: Demand; tasks: number }[]>();
+  private key(ask: Ask): string {
+    return `${kindOf(ask.spec)}|${ask.spec.priority}|${ask.ordinary}|${ask.urgency.place}`;
+  }
+  add(ask: Ask): void {
+    const key = this.key(ask);
+    const list = this.failed.get(key) ?? [];
+    this.failed.set(key, list);
+    list.push({ need: ask.spec, tasks: ask.spec.kind === 'gang' ? ask.spec.tasks : 1 });
+  }
+  covers(ask: Ask): boolean {
+    const tasks = ask.spec.kind === 'gang' ? ask.spec.tasks : 1;
+    return (this.failed.get(this.key(ask)) ?? []).some(
+      (known) => tasks >= known.tasks && fitsIn(known.need, ask.spec),
+    );
+  }
+}
+
 /**
  * Tasks of this size that the team may still start. A limit of 0 means none: whoever asks for GPUs needs a
  * GPU limit; CPUs are counted where the team has a CPU limit, and always for tasks without GPUs.
@@ -137,10 +164,12 @@
 const usable = (ask: Ask, rooms: readonly Room[]): readonly Room[] =>
   rooms.filter(
     (room) =>
+      // Most rooms are full, so this comes first.
+      fitsIn(ask.spec, room.free) &&
+      !(room.held && room.held.job !== ask.job && ask.spec.priority <= room.held.priority) &&
       placeAllowed(ask.spec, room) &&
       !(ask.spec.spot && !room.spot && heldBack(ask, room)) &&
-      !ask.failedOn.has(room.id) &&
-      fitsIn(ask.spec, room.free),
+      !ask.failedOn.has(room.id),
   );
 
 const fill = (
@@ -219,11 +248,12 @@
 const dueAt = (ask: Ask): number =>
   ask.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : ask.at + ask.spec.deadlineS * 1000;
 
-/** Most important first; then work that has no spot machines to go to; then work within its team's guarantee; then by targets; then the shortest; then by deadline; then the oldest. */
+/** Most important first; then what machines are gathered for; then work that has no spot machines to go to; then work within its team's guarantee; then by targets; then the shortest; then by deadline; then the oldest. */
 export const order = (asks: readonly Ask[]): readonly Ask[] =>
   [...asks].sort(
     (a, b) =>
       b.spec.priority - a.spec.priority ||
+      Number(b.gathering) - Number(a.gathering) ||
       Number(a.spec.spot) - Number(b.spec.spot) ||
       Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
       a.tier - b.tier ||
@@ -241,8 +271,7 @@
 ): Packed => {
   const puts: Put[] = [];
   const left: { ask: Ask; count: number }[] = [];
-  /** Classes that found no room: rooms only shrink within a round, so the next like job won't either. */
-  const hopeless = new Set<string>();
+  const hopeless = new Hopeless();
   /** What each team would use if all that waits had its room: a plan must not pass the limit either. */
   const planned = new Map([...uses].map(([team, use]) => [team, { ...use }]));
   for (const ask of asks) {
@@ -255,10 +284,9 @@
     const gang = ask.spec.kind === 'gang';
     const allowed = quotaRoom(ask.spec, limit, use, ask.waiting.length);
     if (allowed === 0 || (gang && allowed < ask.spec.tasks)) continue;
-    const klass = classOf(ask.spec);
-    const plain = ask.failedOn.size === 0 && ask.inZones.size === 0;
-    const placed = plain && hopeless.has(klass) ? [] : packOne(ask, rooms, allowed);
-    if (placed.length < allowed && plain) hopeless.add(klass);
+    const plain = ask.failedOn.size === 0 && ask.inZones.size === 0 && !ask.gathering;
+    const placed = plain && hopeless.covers(ask) ? [] : packOne(ask, rooms, allowed);
+    if (placed.length < allowed && plain) hopeless.add(ask);
     puts.push(...placed);
     use.cpus += ask.spec.cpus * placed.length;
     use.gpus += ask.spec.gpus * placed.length;
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -24,13 +24,16 @@
   /** ms, when it was decided, and when it was first seen running. */
   readonly boundAt: number;
   runningAt: number | null;
+  /** Answers that carried its `run` without a sign of it since. */
+  asked: number;
 }
 
 export interface Chunk {
   /** What the state service holds. */
   version: number;
   durable: ReadonlySet<string>;
-  dirty: boolean;
+  /** What is known differs from what the state service holds, since then (ms); null: it does not. */
+  dirtyFrom: number | null;
 }
 
 export interface ShareJob {
@@ -51,6 +54,10 @@
   /** The job ran somewhere without failing at once. */
   proven: boolean;
   finishing: boolean;
+  /** Its final record failed in company: it is written alone, or it would hold up the others for ever. */
+  finishAlone: boolean;
+  /** Transactions under way that write its runs; nothing else may write them meanwhile. */
+  writing: number;
 }
 
 export type Health =
@@ -76,8 +83,12 @@
   seq: number;
   /** A report of this session named our current token. */
   confirmedToken: number;
+  /** It has reported a token of this holder at some time: no command of an earlier one can reach it. */
+  tookOurToken: boolean;
   /** ms: when it came into this share under this holder. */
   readonly takenAt: number;
+  /** ms: since when it reports without naming our token, so that it may not hear us; null: it names it. */
+  unconfirmedSince: number | null;
   /** ms: the last report that we answered 200; null: none by this holder. */
   answeredAt: number | null;
   noticeAt: number | null;
@@ -92,13 +103,22 @@
   /** Reports whose answer is being held for a placement round: direct commands are not needed. */
   answering: number;
   reported: readonly ReportedTask[];
+  /** ms: since when exits on it wait to be forgotten; null: none do. */
+  forgetFrom: number | null;
   readonly bound: Map<string, Binding>;
   readonly images: Set<string>;
   health: Health;
   idleSince: number | null;
-  readonly total: Demand;
+  total: Demand;
+  /** What is free on it, worked out when asked for; null: to be worked out again. */
+  free: Free | null;
 }
 
+export type Free =
+  | { readonly _tag: 'free'; readonly cpus: number; readonly gpus: number; readonly memoryGb: number }
+  /** Something is on it of which we don't know the size. */
+  | { readonly _tag: 'unclear' };
+
 export const bindingKey = (job: string, index: number, attempt: number): string =>
   `${job}/${index}#${attempt}`;
 
--- /dev/null
+++ b/src/placement/writer.ts
@@ -0,0 +1,294 @@
+import * as Effect from 'effect/Effect';
+import { COMMITS_AT_ONCE, STORE_RETRY_MS, TXN_BYTES } from '../constants.js';
+import { writeMachineRecord } from '../fleet/records.js';
+import { writeFinalRecord } from '../jobs/codec.js';
+import type { FinalState } from '../jobs/model.js';
+import { log } from '../log.js';
+import type { Rank } from '../store/budget.js';
+import type { Condition, Store, TxnResult, Write } from '../store/client.js';
+import { claimKey, finalKey, jobKey, machineKey, runKey } from '../store/keys.js';
+import { durableKeys, runRecord, writeRunRecord, type RunRecord } from './records.js';
+import type { Chunk, ShareJob, ShareMachine } from './state.js';
+
+export interface WriterInput {
+  readonly store: Store;
+  readonly slot: number;
+  readonly claim: number;
+  readonly wall: () => number;
+  /** Another holder's claim showed up in a condition. */
+  readonly lost: () => void;
+  readonly isLost: () => boolean;
+}
+
+/** One run of a job's tasks, as it is to be written now. */
+export interface RunWrite {
+  readonly job: ShareJob;
+  readonly chunk: number;
+  readonly record: RunRecord;
+}
+
+/** Guess of a run record's size on the wire: a binding is an index, a machine's name and an attempt. */
+export const sizeOf = (record: RunRecord): number => 120 + record.bindings.length * 40;
+
+/** Every durable change of a share: conditional on its claim, carried to a known end, several side by side. */
+export class Writer {
+  private running = 0;
+  private readonly queue: (() => void)[] = [];
+  constructor(private readonly input: WriterInput) {}
+
+  private guard(): Condition {
+    return { key: claimKey(String(this.input.slot)), version: this.input.claim };
+  }
+
+  /** Transactions under way are few: each has its time limit, which waiting for a socket would use up. */
+  private async slotted<A>(work: () => Promise<A>): Promise<A> {
+    if (this.running >= COMMITS_AT_ONCE)
+      await new Promise<void>((resolve) => {
+        this.queue.push(resolve);
+      });
+    else this.running += 1;
+    try {
+      return await work();
+    } finally {
+      const next = this.queue.shift();
+      if (next) next();
+      else this.running -= 1;
+    }
+  }
+
+  /**
+   * Carries a transaction to a known end. Without an answer it may still be applied later, so the same one
+   * is sent again until it is committed or can no longer be: every write is conditional on the version of a
+   * key that only this holder changes (`witness`), which tells a late first copy from somebody else's change.
+   */
+  private surely(
+    when: readonly Condition[],
+    writes: readonly Write[],
+    witness: string,
+    rank: Rank,
+  ): Promise<TxnResult> {
+    return this.slotted(() => Effect.runPromise(this.attempts(when, writes, witness, rank)));
+  }
+
+  private attempts(
+    when: readonly Condition[],
+    writes: readonly Write[],
+    witness: string,
+    rank: Rank,
+  ): Effect.Effect<TxnResult> {
+    return Effect.gen({ self: this }, function* () {
+      let unsure = false;
+      for (;;) {
+        if (this.input.isLost() && !unsure) return { _tag: 'refused', why: 'lost' };
+        const result = yield* this.input.store.txn([this.guard(), ...when], writes, rank);
+        switch (result._tag) {
+          case 'committed':
+            return result;
+          case 'noLease':
+            return result;
+          case 'refused':
+            if (!unsure) return result;
+            break;
+          case 'unknown':
+            unsure = true;
+            break;
+          case 'conflict': {
+            if (result.failed.includes(this.guard().key)) {
+              this.input.lost();
+              return result;
+            }
+            if (!unsure) return result;
+            const now = yield* this.input.store.get(witness, rank);
+            const before = when.find((condition) => condition.key === witness)?.version ?? 0;
+            if (now._tag === 'found' && now.item.version !== before) {
+              return { _tag: 'committed', revision: now.item.version };
+            }
+            if (now._tag === 'absent' && before !== 0) return { _tag: 'committed', revision: 0 };
+            if (now._tag !== 'failed') return result;
+            break;
+          }
+        }
+        if (this.input.isLost()) return { _tag: 'refused', why: 'lost' };
+        yield* Effect.sleep(STORE_RETRY_MS);
+      }
+    });
+  }
+
+  runWrite(job: ShareJob, chunk: number): RunWrite {
+    return { job, chunk, record: runRecord(job, chunk) };
+  }
+
+  /** Runs in as few transactions as they fit in; each batch is whole. */
+  batches<T extends { readonly write: RunWrite }>(entries: readonly T[]): readonly (readonly T[])[] {
+    const batches: T[][] = [];
+    let batch: T[] = [];
+    let bytes = 0;
+    for (const entry of entries) {
+      const size = sizeOf(entry.write.record);
+      if (batch.length > 0 && (batch.length >= this.input.store.txnOps || bytes + size > TXN_BYTES / 2)) {
+        batches.push(batch);
+        batch = [];
+        bytes = 0;
+      }
+      batch.push(entry);
+      bytes += size;
+    }
+    if (batch.length > 0) batches.push(batch);
+    return batches;
+  }
+
+  /** Writes runs in one transaction; while it is under way nothing else writes runs of these jobs. */
+  async commitRuns(writes: readonly RunWrite[], rank: Rank): Promise<boolean> {
+    const first = writes[0];
+    if (!first) return true;
+    const key = (write: RunWrite): string => runKey(this.input.slot, write.job.spec.id, write.chunk);
+    const jobs = new Set(writes.map((write) => write.job));
+    const chunks = writes.map((write): Chunk => {
+      const known = write.job.chunks.get(write.chunk);
+      if (known) {
+        known.dirtyFrom = null;
+        return known;
+      }
+      const fresh: Chunk = { version: 0, durable: new Set(), dirtyFrom: null };
+      write.job.chunks.set(write.chunk, fresh);
+      return fresh;
+    });
+    for (const job of jobs) job.writing += 1;
+    const result = await this.surely(
+      [
+        ...[...jobs].map((job) => ({ key: jobKey(job.spec.id), version: job.version })),
+        ...writes.map((write, index) => ({ key: key(write), version: chunks[index]?.version ?? 0 })),
+      ],
+      writes.map((write) => ({
+        _tag: 'put',
+        key: key(write),
+        value: writeRunRecord(write.record, write.chunk),
+      })),
+      key(first),
+      rank,
+    );
+    for (const job of jobs) job.writing -= 1;
+    const committed = result._tag === 'committed';
+    writes.forEach((write, index) => {
+      const chunk = chunks[index];
+      if (!chunk) return;
+      if (committed) {
+        chunk.version = result.revision;
+        chunk.durable = durableKeys(write.job.spec.id, write.record);
+      } else chunk.dirtyFrom ??= 0;
+    });
+    if (result._tag === 'conflict') log.debug({ event: 'bind.conflict', failed: result.failed });
+    return committed;
+  }
+
+  /** How many changes the final record of a job takes, with all its runs. */
+  finalSize(job: ShareJob): number {
+    return 2 + job.chunks.size;
+  }
+
+  /** Final records of jobs in one transaction. Returns those that are durable, with runs left to clear away. */
+  async finish(
+    jobs: readonly { readonly job: ShareJob; readonly state: FinalState }[],
+  ): Promise<{ readonly done: readonly ShareJob[]; readonly orphans: readonly string[] }> {
+    const first = jobs[0];
+    if (!first) return { done: [], orphans: [] };
+    const orphans: string[] = [];
+    const writes: Write[] = [];
+    for (const { job, state } of jobs) {
+      job.finishing = true;
+      writes.push(
+        {
+          _tag: 'put',
+          key: finalKey(job.spec.id),
+          value: writeFinalRecord({ state, at: this.input.wall(), tasks: job.spec.tasks }),
+        },
+        { _tag: 'delete', key: jobKey(job.spec.id) },
+      );
+    }
+    for (const { job } of jobs) {
+      for (const chunk of job.chunks.keys()) {
+        const key = runKey(this.input.slot, job.spec.id, chunk);
+        if (writes.length < this.input.store.txnOps) writes.push({ _tag: 'delete', key });
+        else orphans.push(key);
+      }
+    }
+    const result = await this.surely(
+      jobs.flatMap(({ job }) => [
+        { key: jobKey(job.spec.id), version: job.version },
+        // Only the holder writes it, so it tells whether an unanswered copy was applied; a user's late cancellation
+        // changes the job's record too, and would pass for it.
+        { key: finalKey(job.spec.id), version: 0 },
+      ]),
+      writes,
+      finalKey(first.job.spec.id),
+      'bind',
+    );
+    if (result._tag !== 'committed') {
+      for (const { job } of jobs) {
+        job.finishing = false;
+        if (
+          result._tag === 'conflict' &&
+          result.failed.some((key) => key === jobKey(job.spec.id) || key === finalKey(job.spec.id))
+        )
+          job.finishAlone = true;
+      }
+      return { done: [], orphans: [] };
+    }
+    for (const { job, state } of jobs)
+      log.info({ event: 'job.final', job: job.spec.id, state, ageMs: this.input.wall() - job.at });
+    return { done: jobs.map(({ job }) => job), orphans };
+  }
+
+  /** Machine records in one transaction. From its start nothing is placed on them, also while the end is open. */
+  async assign(
+    machines: readonly {
+      readonly machine: ShareMachine;
+      readonly share: number;
+      readonly releasing: boolean;
+    }[],
+    rank: Rank,
+  ): Promise<boolean> {
+    const first = machines[0];
+    if (!first) return true;
+    const sent = machines.map((entry) => ({ ...entry, version: entry.machine.version }));
+    for (const { machine } of sent) machine.releasing = true;
+    const result = await this.surely(
+      sent.map(({ machine, version }) => ({ key: machineKey(machine.id), version })),
+      sent.map(({ machine, share, releasing }) => ({
+        _tag: 'put',
+        key: machineKey(machine.id),
+        value: writeMachineRecord({
+          share,
+          type: machine.type,
+          zone: machine.zone,
+          spot: machine.spot,
+          at: machine.since,
+          releasing,
+          addr: machine.addr,
+          session: machine.session,
+        }),
+      })),
+      machineKey(first.machine.id),
+      rank,
+    );
+    if (result._tag === 'committed') return true;
+    for (const { machine, version } of sent) {
+      const failed = result._tag === 'conflict' && result.failed.includes(machineKey(machine.id));
+      // One whose record has changed is set right by the change itself, when it is heard of.
+      if (!failed && machine.version === version) machine.releasing = false;
+    }
+    return false;
+  }
+
+  /** Runs of jobs that are over. Left-overs cost nothing but room, so a failure is simply tried again later. */
+  async clear(keys: readonly string[]): Promise<boolean> {
+    const result = await Effect.runPromise(
+      this.input.store.txn(
+        [this.guard()],
+        keys.map((key) => ({ _tag: 'delete', key })),
+        'work',
+      ),
+    );
+    return result._tag === 'committed';
+  }
+}
--- a/src/service.ts
+++ b/src/service.ts
@@ -6,22 +6,24 @@
 import { Keeper } from './claims/keeper.js';
 import {
   BEAT_FRESH_MS,
+  BEAT_MS,
   BODY_MAX_BYTES,
-  COUNTS_TIMEOUT_MS,
-  DEAF_MS,
   ANSWER_MAX_BYTES,
+  SOCKETS_DIRECT,
   SOCKETS_IN,
   USER_BUDGET_MS,
 } from './constants.js';
 import { Cloud } from './fleet/cloud.js';
 import { Leader, readCatalog } from './fleet/leader.js';
-import type { Summary } from './fleet/records.js';
+import type { Hold, Move, Summary } from './fleet/records.js';
 import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
 import { UsersApi } from './jobs/api.js';
 import { readJobRecord } from './jobs/codec.js';
 import { fitsIn, placeAllowed, typeAllowed, type Catalog, type JobSpec } from './jobs/model.js';
 import { log } from './log.js';
-import { Mesh } from './mesh/mesh.js';
+import { Detour } from './mesh/detour.js';
+import { Mesh, rateFor } from './mesh/mesh.js';
+import { briefly } from './placement/needs.js';
 import { readObjectives } from './placement/urgency.js';
 import { Share, type ShareInput } from './placement/share.js';
 import type { Settings } from './settings/schema.js';
@@ -92,30 +94,32 @@
   const shares = new Map<number, { share: Share; fiber: Fiber.Fiber<unknown> }>();
   const stateAge = (): number => (store.okAt === 0 ? Number.MAX_SAFE_INTEGER : now() - store.okAt);
 
+  const leaderNode = (): string | undefined => keeper.claim(LEADER)?.node;
+
   const mesh: Mesh = new Mesh({
     me: me.node,
     siblings: settings.siblings,
     now,
     callers,
-    beat: () => ({
+    leader: leaderNode,
+    beat: (to) => ({
       from: me.node,
       incarnation: me.incarnation,
       lease: keeper.lease,
       stateAgeMs: stateAge(),
-      summaries: ownSummaries(),
+      counts: [...shares].map(([slot, { share }]) => ({ slot, jobs: share.allCounts() })),
+      summaries: to === leaderNode() ? ownSummaries() : ownSummaries().map(briefly),
       deaf: keeper.deaf,
       strays: desk.strayCounts(BEAT_FRESH_MS * 2),
+      demand: { requests: store.requests.demand(), changes: store.changes.demand() },
+      holds: keeper.entitled(LEADER) === null ? [] : leader.holds,
     }),
     answer: async (path, body) => {
       switch (path) {
-        case '/counts': {
-          const { id, share } = body as { id: string; share: number };
-          return shares.get(share)?.share.counts(id) ?? { done: 0, running: 0 };
-        }
         case '/move': {
-          const { machine, from, to } = body as { machine: string; from: number; to: number };
+          const { moves, from } = body as { moves: readonly Move[]; from: number };
           const held = entitledShare(from);
-          return { moved: held ? await Effect.runPromise(held.give(machine, to)) : false };
+          return { moved: held ? await held.give(moves) : false };
         }
         default:
           return null;
@@ -123,6 +127,30 @@
     },
   });
 
+  /** Each node's part of the state service's rates follows what the nodes ask for. */
+  const shareRates = Effect.forever(
+    Effect.andThen(
+      Effect.sleep(BEAT_MS),
+      Effect.sync(() => {
+        const others = mesh.demands();
+        store.requests.setRate(
+          rateFor(
+            store.rates.requests,
+            store.requests.demand(),
+            others.map((demand) => demand.requests),
+          ),
+        );
+        store.changes.setRate(
+          rateFor(
+            store.rates.changes,
+            store.changes.demand(),
+            others.map((demand) => demand.changes),
+          ),
+        );
+      }),
+    ),
+  );
+
   /** Most nodes, this one included, can't reach the state service, and no node says that it can. */
   const outage = (): boolean => {
     if (stateAge() < BEAT_FRESH_MS) return false;
@@ -134,7 +162,7 @@
   const unheard = (): ReadonlyMap<string, string> => {
     const found = new Map<string, string>();
     for (const [slot, { share }] of shares) {
-      const { machines, heard } = share.hearing(DEAF_MS);
+      const { machines, heard } = share.hearing();
       const strays = mesh.strays(String(slot));
       if (machines > 0 && heard === 0 && strays && strays.count * 2 >= machines)
         found.set(String(slot), strays.node);
@@ -160,7 +188,11 @@
   const ownSummaries = (): readonly Summary[] =>
     [...shares.keys()].flatMap((slot) => entitledShare(slot)?.summary ?? []);
 
-  const leader = new Leader({
+  const summaryOf = (slot: number, heard: readonly Summary[]): Summary | null =>
+    heard.find((summary) => summary.share === slot) ??
+    detour.summary(slot, keeper.claim(String(slot))?.version ?? -1);
+
+  const leader: Leader = new Leader({
     store,
     mirror,
     cloud,
@@ -168,19 +200,45 @@
     listLagS: facts.cloud.list_lag_s,
     catalog,
     entitled: () => keeper.entitled(LEADER),
-    summaries: () => [...ownSummaries(), ...mesh.summaries()],
-    move: (from, machine, to) => {
+    summaries: () => {
+      const heard = [...ownSummaries(), ...mesh.summaries()];
+      return Array.from({ length: slots }, (_, slot) => summaryOf(slot, heard)).filter(
+        (summary) => summary !== null,
+      );
+    },
+    move: (from, moves) => {
       const held = entitledShare(from);
-      if (held) return held.give(machine, to);
+      if (held) return Effect.promise(() => held.give(moves));
       const holder = keeper.claim(String(from))?.node;
-      return holder === undefined
-        ? Effect.void
-        : Effect.promise(() => mesh.ask(holder, '/move', { machine, from, to }));
+      if (holder === undefined || holder === me.node) return Effect.void;
+      if (mesh.fresh(holder) === null) return detour.order(from, moves, leader.holds);
+      return Effect.promise(() => mesh.ask(holder, '/move', { moves, from }));
     },
     now,
     wall,
   });
 
+  const detour: Detour = new Detour({
+    store,
+    valueBytes: facts.state.value_kb * 1024,
+    now,
+    leaderClaim: () => keeper.claim(LEADER)?.version ?? null,
+    cutOff: () => {
+      const to = leaderNode();
+      return to === undefined || to === me.node || mesh.fresh(to) !== null ? [] : ownSummaries();
+    },
+    give: (slot, moves) => {
+      void entitledShare(slot)?.give(moves);
+    },
+  });
+
+  const holdsFor = (slot: number): readonly Hold[] => {
+    if (keeper.entitled(LEADER) !== null) return leader.holds;
+    const from = leaderNode();
+    const beat = from === undefined ? null : mesh.fresh(from);
+    return beat ? beat.holds : detour.holds(slot);
+  };
+
   const desk = new Desk({
     me: me.node,
     mirror,
@@ -203,6 +261,7 @@
     guarantees,
     objectives,
     workers: facts.workers,
+    holds: () => holdsFor(slot),
     entitled: () => keeper.entitled(String(slot)) === claim,
     spareElsewhere: (own, spec) =>
       [...ownSummaries(), ...mesh.summaries()].some(
@@ -246,6 +305,7 @@
   mirror.onEvent((event) => {
     const key = event._tag === 'put' ? event.item.key : event.key;
     const id = key.slice(4);
+    detour.onEvent(event);
     if (key.startsWith('w/c/')) {
       for (let slot = 0; slot < slots; slot += 1) if (key === claimKey(String(slot))) followClaim(slot);
       return;
@@ -264,19 +324,13 @@
 
   const users = new UsersApi({
     store,
+    mirror,
     catalog,
     zones: facts.zones,
     limits,
-    counts: async (id, team) => {
+    counts: (id, team) => {
       const slot = shareOfTeam.get(team) ?? 0;
-      const held = entitledShare(slot);
-      if (held) return held.counts(id);
-      const holder = keeper.claim(String(slot))?.node;
-      if (holder === undefined || holder === me.node) return null;
-      return (await mesh.ask(holder, '/counts', { id, share: slot }, COUNTS_TIMEOUT_MS)) as {
-        done: number;
-        running: number;
-      } | null;
+      return entitledShare(slot)?.counts(id) ?? mesh.counts(slot, id);
     },
     wall,
   });
@@ -320,6 +374,8 @@
         supervise('claims', keeper.run),
         supervise('mesh', mesh.run),
         supervise('leader', leader.run),
+        supervise('detour', detour.run),
+        supervise('rates', shareRates),
       ],
       { concurrency: 'unbounded' },
     ),
@@ -339,7 +395,7 @@
     wall: () => Date.now(),
     incarnation: randomUUID(),
     callers: (target, sockets) => new Client(target, sockets),
-    line: new Line(),
+    line: new Line(Math.floor(settings.facts.quota.fd_limit * SOCKETS_DIRECT)),
   });
   const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
   const connections = Math.floor(settings.facts.quota.fd_limit * SOCKETS_IN);
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -1,11 +1,26 @@
+import { BUDGET_PUMP_MS, BUDGET_WINDOW_MS } from '../constants.js';
+
 /** A token bucket with ranks: renewals and users' calls pass while background work waits. */
-export type Rank = 'vital' | 'user' | 'work';
+export type Rank = 'vital' | 'user' | 'bind' | 'work';
+const RANKS: readonly Rank[] = ['vital', 'user', 'bind', 'work'];
+
+interface Waiting {
+  readonly count: number;
+  readonly until: number;
+  readonly settle: (granted: boolean) => void;
+}
 
 export class Budget {
   private level: number;
   private at: number;
+  private readonly queues: Record<Rank, Waiting[]> = { vital: [], user: [], bind: [], work: [] };
+  private pumping = false;
+  private wanted = 0;
+  private wantedBefore = 0;
+  private windowAt: number;
+
   constructor(
-    readonly perSecond: number,
+    private rate: number,
     private readonly reserve: number,
     private readonly patienceMs: number,
     private readonly now: () => number,
@@ -14,39 +29,89 @@
         setTimeout(resolve, ms);
       }),
   ) {
-    this.level = perSecond;
+    this.level = rate;
     this.at = now();
+    this.windowAt = this.at;
+  }
+
+  get perSecond(): number {
+    return this.rate;
+  }
+  /** This node's part of the common rate, as agreed from what all nodes ask for. */
+  setRate(rate: number): void {
+    this.refill();
+    this.rate = rate;
+    this.level = Math.min(this.level, rate);
+  }
+
+  /** Tokens asked for a second, over the last window or two. */
+  demand(): number {
+    this.turnWindow();
+    const spanS = (BUDGET_WINDOW_MS + this.now() - this.windowAt) / 1000;
+    return (this.wanted + this.wantedBefore) / spanS;
+  }
+  private turnWindow(): void {
+    const passed = this.now() - this.windowAt;
+    if (passed < BUDGET_WINDOW_MS) return;
+    this.wantedBefore = passed < 2 * BUDGET_WINDOW_MS ? this.wanted : 0;
+    this.wanted = 0;
+    this.windowAt = this.now();
   }
 
   /** Ranks below `vital` leave some room for those above them. */
   private floor(rank: Rank): number {
     switch (rank) {
       case 'vital':
-        return -this.perSecond * 0.1;
+        return -this.rate * 0.1;
       case 'user':
         return 0;
+      case 'bind':
+        return (this.rate * this.reserve) / 2;
       case 'work':
-        return this.perSecond * this.reserve;
+        return this.rate * this.reserve;
     }
   }
 
-  tryTake(count: number, rank: Rank): boolean {
+  private refill(): void {
     const now = this.now();
-    this.level = Math.min(this.perSecond, this.level + ((now - this.at) / 1000) * this.perSecond);
+    this.level = Math.min(this.rate, this.level + ((now - this.at) / 1000) * this.rate);
     this.at = now;
+  }
+
+  tryTake(count: number, rank: Rank): boolean {
+    this.refill();
     // A batch larger than what the rank may ever hold passes when the bucket is full.
-    const need = Math.min(count, this.perSecond - this.floor(rank));
+    const need = Math.min(count, this.rate - this.floor(rank));
     if (this.level - need < this.floor(rank)) return false;
     this.level -= count;
     return true;
   }
 
-  async take(count: number, rank: Rank): Promise<boolean> {
-    const until = this.now() + this.patienceMs;
-    while (!this.tryTake(count, rank)) {
-      if (this.now() >= until) return false;
-      await this.sleep(20);
+  take(count: number, rank: Rank): Promise<boolean> {
+    this.turnWindow();
+    this.wanted += count;
+    // Whoever came first within a rank goes first; a later small call never overtakes a large one for ever.
+    if (this.queues[rank].length === 0 && this.tryTake(count, rank)) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      this.queues[rank].push({ count, until: this.now() + this.patienceMs, settle: resolve });
+      if (!this.pumping) void this.pump();
+    });
+  }
+
+  private async pump(): Promise<void> {
+    this.pumping = true;
+    while (RANKS.some((rank) => this.queues[rank].length > 0)) {
+      await this.sleep(BUDGET_PUMP_MS);
+      for (const rank of RANKS) {
+        const queue = this.queues[rank];
+        for (let head = queue[0]; head; head = queue[0]) {
+          const granted = this.tryTake(head.count, rank);
+          if (!granted && this.now() < head.until) break;
+          queue.shift();
+          head.settle(granted);
+        }
+      }
     }
-    return true;
+    this.pumping = false;
   }
 }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -2,11 +2,14 @@
 import {
   CLAIM_TTL_MS,
   LIST_PAGE,
+  RATE_RETRIES,
+  RATE_RETRY_MS,
   RENEW_TIMEOUT_MS,
   STORE_QUEUE_MS,
   STORE_RESERVE,
   STORE_TIMEOUT_MS,
   WATCH_MS,
+  WATCH_SHARE,
 } from '../constants.js';
 import type { Answer, Caller, Callers, Target } from '../http.js';
 import { Budget, type Rank } from './budget.js';
@@ -88,8 +91,14 @@
     this.requests = new Budget(limits.rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
     this.changes = new Budget(limits.write_rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
     this.txnOps = limits.txn_ops;
+    this.watchGapMs = (1000 * limits.nodes) / (limits.rps * WATCH_SHARE);
+    this.rates = { requests: limits.rps, changes: limits.write_rps };
   }
   readonly txnOps: number;
+  /** ms: pause between two watches, so that they take a bounded part of the requests. */
+  readonly watchGapMs: number;
+  /** What all nodes together may use, a second. */
+  readonly rates: { readonly requests: number; readonly changes: number };
 
   private seen(answer: Answer): Answer {
     if (answer._tag === 'answer' && answer.status < 500 && answer.status !== 429) this.okAt = this.now();
@@ -97,8 +106,16 @@
   }
 
   private async call(rank: Rank, client: Caller, method: string, path: string, body: unknown, ms: number) {
-    if (!(await this.requests.take(1, rank))) return null;
-    return this.seen(await client.request(method, path, body, ms));
+    for (let tries = 0; ; tries += 1) {
+      if (!(await this.requests.take(1, rank))) return null;
+      const answer = this.seen(await client.request(method, path, body, ms));
+      // 429: not carried out. All nodes together asked for more than there is; soon there is some again.
+      if (rank !== 'user' || answer._tag !== 'answer' || answer.status !== 429 || tries >= RATE_RETRIES)
+        return answer;
+      await new Promise((resolve) => {
+        setTimeout(resolve, RATE_RETRY_MS);
+      });
+    }
   }
 
   get(key: string, rank: Rank): Effect.Effect<GetResult> {
--- a/src/store/keys.ts
+++ b/src/store/keys.ts
@@ -3,6 +3,8 @@
 export const claimKey = (slot: string): string => `w/c/${slot}`;
 export const machineKey = (id: string): string => `w/m/${id}`;
 export const jobKey = (id: string): string => `w/j/${id}`;
+export const summaryKey = (slot: number): string => `w/s/${slot}`;
+export const ordersKey = (slot: number): string => `w/o/${slot}`;
 export const CATALOG_KEY = 'w/catalog';
 export const runsPrefix = (share: number): string => `r/${share}/`;
 export const runKey = (share: number, job: string, chunk: number): string => `r/${share}/${job}/${chunk}`;
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -4,12 +4,15 @@
 import type { Item, Store, StoreEvent } from './client.js';
 import { SHARED } from './keys.js';
 
+const kindOf = (key: string): string => key.slice(0, key.indexOf('/', SHARED.length) + 1);
+
 /**
  * This node's copy of the shared keys, in the order of their changes: what it shows was true at `revision`,
  * and a later change is never shown before an earlier one. That order is what fencing relies on.
  */
 export class Mirror {
-  private readonly items = new Map<string, Item>();
+  /** By kind of key (`w/j/`, `w/m/`, …), so that a walk over one kind costs only that kind. */
+  private readonly kinds = new Map<string, Map<string, Item>>();
   private readonly listeners: ((event: StoreEvent) => void)[] = [];
   revision = -1;
   /** True once the first full read is in. */
@@ -21,26 +24,31 @@
     this.listeners.push(listener);
   }
   get(key: string): Item | undefined {
-    return this.items.get(key);
+    return this.kinds.get(kindOf(key))?.get(key);
   }
-  *under(prefix: string): IterableIterator<Item> {
-    for (const item of this.items.values()) if (item.key.startsWith(prefix)) yield item;
+  /** All keys of one kind. */
+  under(kind: `w/${string}/`): Iterable<Item> {
+    return this.kinds.get(kind)?.values() ?? [];
   }
 
   apply(event: StoreEvent): void {
     const key = event._tag === 'put' ? event.item.key : event.key;
     const version = event._tag === 'put' ? event.item.version : event.version;
-    const known = this.items.get(key);
+    let items = this.kinds.get(kindOf(key));
+    const known = items?.get(key);
     if (known && known.version >= version) return;
-    if (event._tag === 'put') this.items.set(key, event.item);
-    else if (!this.items.delete(key)) return;
+    if (event._tag === 'put') {
+      if (!items) this.kinds.set(kindOf(key), (items = new Map<string, Item>()));
+      items.set(key, event.item);
+    } else if (!items?.delete(key)) return;
     for (const listener of this.listeners) listener(event);
   }
 
   private reload(items: readonly Item[], revision: number): void {
     const present = new Set(items.map((item) => item.key));
-    for (const key of [...this.items.keys()]) {
-      if (!present.has(key)) this.apply({ _tag: 'delete', key, version: revision });
+    for (const items of this.kinds.values()) {
+      for (const key of [...items.keys()])
+        if (!present.has(key)) this.apply({ _tag: 'delete', key, version: revision });
     }
     for (const item of [...items].sort((a, b) => a.version - b.version)) this.apply({ _tag: 'put', item });
     this.revision = revision;
@@ -66,6 +74,8 @@
         }
         for (const event of result.events) this.apply(event);
         this.revision = Math.max(this.revision, result.revision);
+        // Each change would otherwise cost every node one more request; together they fit in a few.
+        yield* Effect.sleep(this.store.watchGapMs);
       }
     }
   });
--- a/src/workers/codec.ts
+++ b/src/workers/codec.ts
@@ -1,29 +1,57 @@
-import * as Schema from 'effect/Schema';
-import * as Result from 'effect/Result';
 import { parseTaskName, taskName } from '../jobs/codec.js';
 import type { Command, ExitCause, Report, ReportedTask, TaskState } from './model.js';
 
-/** The workers' wire words. */
-const Head = Schema.Struct({
-  head: Schema.String,
-  try: Schema.Int,
-  status: Schema.String,
-  cause: Schema.optional(Schema.NullOr(Schema.String)),
-  saved: Schema.optional(Schema.NullOr(Schema.Boolean)),
-});
-const Hello = Schema.Struct({
-  drover: Schema.String,
-  addr: Schema.String,
-  breed: Schema.String,
-  paddock: Schema.String,
-  agistment: Schema.Boolean,
-  stint: Schema.Int,
-  tally: Schema.Int,
-  crook: Schema.Int,
-  warningS: Schema.optional(Schema.NullOr(Schema.Finite)),
-  heads: Schema.Array(Head),
-});
-const decodeHello = Schema.decodeUnknownResult(Hello);
+/**
+ * The workers' wire words. Reports are by far the most frequent message: they are checked by hand, since a
+ * schema library took six times as long for each (docs/measurements.md).
+ */
+interface Head {
+  readonly head: string;
+  readonly try: number;
+  readonly status: string;
+  readonly cause?: string | null;
+  readonly saved?: boolean | null;
+}
+interface Hello {
+  readonly drover: string;
+  readonly addr: string;
+  readonly breed: string;
+  readonly paddock: string;
+  readonly agistment: boolean;
+  readonly stint: number;
+  readonly tally: number;
+  readonly crook: number;
+  readonly warningS?: number | null;
+  readonly heads: readonly Head[];
+}
+
+const isMap = (value: unknown): value is Record<string, unknown> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+const isText = (value: unknown): value is string => typeof value === 'string';
+const isOptional = (value: unknown, type: 'string' | 'boolean' | 'number'): boolean =>
+  value === undefined || value === null || typeof value === type;
+
+const isHead = (value: unknown): value is Head =>
+  isMap(value) &&
+  isText(value['head']) &&
+  Number.isInteger(value['try']) &&
+  isText(value['status']) &&
+  isOptional(value['cause'], 'string') &&
+  isOptional(value['saved'], 'boolean');
+
+const isHello = (value: unknown): value is Hello =>
+  isMap(value) &&
+  isText(value['drover']) &&
+  isText(value['addr']) &&
+  isText(value['breed']) &&
+  isText(value['paddock']) &&
+  typeof value['agistment'] === 'boolean' &&
+  Number.isInteger(value['stint']) &&
+  Number.isInteger(value['tally']) &&
+  Number.isInteger(value['crook']) &&
+  isOptional(value['warningS'], 'number') &&
+  Array.isArray(value['heads']) &&
+  value['heads'].every(isHead);
 
 const CAUSES: Record<string, ExitCause> = {
   done: 'done',
@@ -36,7 +64,7 @@
   unknown: 'unknown',
 };
 
-const readState = (head: typeof Head.Type): TaskState => {
+const readState = (head: Head): TaskState => {
   switch (head.status) {
     case 'pulling':
       return { _tag: 'fetching' };
@@ -53,9 +81,8 @@
 };
 
 export const readReport = (value: unknown): Report | null => {
-  const result = decodeHello(value);
-  if (!Result.isSuccess(result)) return null;
-  const hello = result.success;
+  if (!isHello(value)) return null;
+  const hello = value;
   const tasks: ReportedTask[] = [];
   for (const head of hello.heads) {
     const name = parseTaskName(head.head);
--- a/src/workers/line.ts
+++ b/src/workers/line.ts
@@ -17,16 +17,22 @@
   send(addr: string, token: number, session: number, commands: readonly Command[]): Promise<DirectResult>;
 }
 
+/**
+ * Connections to workers are few against their number, and Node's agent counts idle ones against its total: a
+ * command for a machine without a connection would wait behind idle ones of others until it is given up. So
+ * a command's connection is its own and closes with it, and those beyond the bound are refused at once.
+ */
 export class Line implements DirectLine {
-  private readonly agent = new http.Agent({
-    keepAlive: true,
-    maxSockets: 1,
-    maxFreeSockets: 1,
-    maxTotalSockets: 128,
-  });
+  private readonly agent: http.Agent;
+  private open = 0;
+  constructor(private readonly sockets: number) {
+    this.agent = new http.Agent({ keepAlive: false });
+  }
 
   send(addr: string, token: number, session: number, commands: readonly Command[]): Promise<DirectResult> {
-    return new Promise((resolve) => {
+    if (this.open >= this.sockets) return Promise.resolve({ _tag: 'refused', report: null });
+    this.open += 1;
+    return new Promise<DirectResult>((resolve) => {
       const payload = encode({ ...(writeOrders(token, commands) as object), stint: session });
       const { host, port } = parseTarget(addr);
       let connected = false;
@@ -72,6 +78,8 @@
       });
       req.on('error', () => end(connected ? { _tag: 'unsure' } : { _tag: 'refused', report: null }));
       req.end(payload);
+    }).finally(() => {
+      this.open -= 1;
     });
   }
 }
--- a/src/workers/react.ts
+++ b/src/workers/react.ts
@@ -1,6 +1,6 @@
-import { SETTLE_OVERRUN_MS } from '../constants.js';
+import { FORGET_AFTER_MS, FORGET_TOGETHER, SETTLE_OVERRUN_MS } from '../constants.js';
 import { bindingKey, type Binding, type ShareMachine } from '../placement/state.js';
-import { nextPhase } from '../placement/task.js';
+import { nextPhase, type Gone } from '../placement/task.js';
 import type { Command, Report } from './model.js';
 
 /** What one report means for the tasks bound to its machine. Pure: the caller applies the changes. */
@@ -24,7 +24,9 @@
   late: (key: string) => boolean,
 ): readonly Change[] => {
   const changes: Change[] = [];
-  const newSession = machine.answeredAt !== null && report.session > machine.session;
+  // Commands of ours name the old session. Those of an earlier holder may not, until the worker has seen our token.
+  const newSession =
+    machine.answeredAt !== null && report.session > machine.session && (underToken || machine.tookOurToken);
   const reported = new Map(
     report.tasks.map((task) => [bindingKey(task.job, task.index, task.attempt), task]),
   );
@@ -37,18 +39,18 @@
         (binding.seen.session === report.session && binding.seen.seq > report.seq));
     if (newer) continue;
     if (task) changes.push({ binding, event: { _tag: 'reported', state: task.state } });
-    else if (newSession || !late(key)) {
+    else if (newSession || (underToken && !late(key))) {
+      const how: Gone = newSession ? { _tag: 'newSession' } : { _tag: 'absent' };
       switch (binding.phase._tag) {
         case 'fetching':
         case 'waiting':
         case 'running':
         case 'saving':
-          if (newSession) changes.push({ binding, event: { _tag: 'lost', how: { _tag: 'newSession' } } });
-          else if (underToken) changes.push({ binding, event: { _tag: 'lost', how: { _tag: 'absent' } } });
+          changes.push({ binding, event: { _tag: 'lost', how } });
           break;
         case 'bound':
-          if (binding.stop && underToken)
-            changes.push({ binding, event: { _tag: 'lost', how: { _tag: 'absent' } } });
+          // A machine that began a new session may not hear us at all: what it never took up goes elsewhere.
+          if (binding.stop || newSession) changes.push({ binding, event: { _tag: 'lost', how } });
           break;
         case 'binding':
         case 'gone':
@@ -71,6 +73,7 @@
   now: number,
 ): readonly Command[] => {
   const commands: Command[] = [];
+  const forgets: Command[] = [];
   const seen = new Set<string>();
   for (const task of report.tasks) {
     const key = bindingKey(task.job, task.index, task.attempt);
@@ -79,7 +82,7 @@
     const binding = machine.bound.get(key);
     if (task.state._tag === 'exited') {
       if (!binding && underToken && settled(key, task.job, task.index))
-        commands.push({ _tag: 'forget', ...name });
+        forgets.push({ _tag: 'forget', ...name });
       continue;
     }
     if (!binding) {
@@ -96,5 +99,10 @@
     if (seen.has(key) || binding.phase._tag !== 'bound' || binding.stop) continue;
     commands.push({ _tag: 'run', job: binding.job, index: binding.index, attempt: binding.attempt });
   }
-  return commands;
+  // Each makes the worker report anew, so they go with other commands or several at once, within bounds.
+  const wait =
+    commands.length === 0 &&
+    forgets.length < FORGET_TOGETHER &&
+    (machine.forgetFrom === null || now - machine.forgetFrom < FORGET_AFTER_MS);
+  return wait ? commands : [...commands, ...forgets];
 };
