--- a/src/constants.ts
+++ b/src/constants.ts
@@ -62,8 +62,9 @@
 /** Fraction of the request rate that watches may use: each change ends every node's watch. A node's share of it
  *  is the pause between two watches, some 0.2 s, little beside a report interval. */
 export const WATCH_SHARE = 0.15;
-/** ms: between looks at the queue for budget; a fraction of a call's own time. */
+/** ms: between looks at the queue for budget, at least and at most; the rate may change in between. */
 export const BUDGET_PUMP_MS = 10;
+export const BUDGET_LOOK_MS = 250;
 /** ms: over so long (once or twice) a node's demand for budget is measured; several beats. */
 export const BUDGET_WINDOW_MS = 2_000;
 /** Fraction of a common rate that is divided evenly; the rest goes by demand. An idle node must be able to
@@ -93,9 +94,9 @@
 /** ms: longest time a user's call may take here; the user gives up after 5 s, polls after 2 s. */
 export const USER_BUDGET_MS = 1_800;
 /** Fraction of the socket limit for incoming connections. */
-export const SOCKETS_IN = 0.8;
-/** Fraction of the socket limit for direct commands to workers under way. */
-export const SOCKETS_DIRECT = 0.06;
+export const SOCKETS_IN = 0.76;
+/** Fraction of the socket limit for connections to workers, idle ones included. */
+export const SOCKETS_DIRECT = 0.12;
 /** Sockets to one address. */
 export const SOCKETS_OUT = 24;
 /** Sockets to a sibling: beats, task counts and moves. */
@@ -117,7 +118,7 @@
  *  reports, users' calls and renewals the rest. */
 export const ROUND_REST = 3;
 /** ms: between two rounds at least. Events that come within it share a round, and a report's answer waits for it. */
-export const ROUND_GAP_MS = 100;
+export const ROUND_GAP_MS = 50;
 /** Exits and ms: so many settled exits on a machine, or one so old, are forgotten together: each time one is, its
  *  worker reports anew. */
 export const FORGET_TOGETHER = 6;
@@ -128,7 +129,10 @@
 export const EVICT_EVERY_MS = 1_000;
 /** Waiting classes that one search looks at. */
 export const EVICT_ASKS = 6;
-/** ms: a finished task's record waits this long for others of its job. Until then its worker's report is the
+/** Fraction of a node's change rate below which finished tasks are written at once: there is room to spare, and the
+ *  sooner an exit is written, the sooner its machine may move to another share. */
+export const FLUSH_AT_ONCE = 0.4;
+/** ms: otherwise a finished task's record waits this long for others of its job. Until then its worker's report is the
  *  record; a machine whose exits are not written can't move to another share, nor have them forgotten. */
 export const FLUSH_AGE_MS = 2_500;
 /** ms: pause between writes of finished tasks, so that they share transactions. */
@@ -155,8 +159,8 @@
 export const IDLE_BOOTS = 1.5;
 /** Machines: so many idle ones of a kind are held that long by each share; it is gangs of a few tasks that wait. */
 export const HELD_IDLE = 2;
-/** Nominal boot times for which the others are held: a lull shorter than that is no reason to let go. */
-export const IDLE_BOOTS_MANY = 1;
+/** Nominal boot times for which the others are held: a lull of half a boot is no reason to let go. */
+export const IDLE_BOOTS_MANY = 0.5;
 /** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
  *  worker waits 4 s, and its lease counts from when it sent the report. */
 export const ANSWER_WAIT_MS = 400;
@@ -198,11 +202,14 @@
 /** ms: after that it takes no share back; long enough for most cuts, and it can't tell when one ends. */
 export const DEAF_PAUSE_MS = 45_000;
 
-/** ms: a gang that no zone has room for waits this long before machines are gathered for it: the next few to come
- *  free may be enough, and a machine kept idle for it is lost to others. */
-export const HOLD_AFTER_MS = 8_000;
-/** ms: the same for one task, which goes without while larger gangs are gathered for in every zone. */
-export const HOLD_SINGLE_AFTER_MS = 45_000;
+/** Fraction of its class's loosest start target, and ms at most, that a gang no zone has room for waits before
+ *  machines are gathered for it; ms where the class has no such target. Gathering takes about as long again, and
+ *  what is kept idle for one large gang would have started several small ones, which most jobs are. */
+export const HOLD_AFTER_TARGET = 1 / 2;
+export const HOLD_AFTER_MOST_MS = 100_000;
+export const HOLD_AFTER_MS = 60_000;
+/** ms: the same for an array or service of which nothing runs yet; one machine is gathered for it. */
+export const HOLD_PLAIN_AFTER_MS = 100_000;
 /** ms: a hold that did not lead to a start by then is given up, and may begin anew in another zone: a zone turns
  *  over within a task's time or two. */
 export const HOLD_MAX_MS = 100_000;
@@ -212,6 +219,8 @@
 export const GREET_MS = 3_000;
 /** ms: a hold is heeded this long after it was last heard of. */
 export const HOLD_FRESH_MS = 4_000;
+/** ms: how often a node that does not lead looks whether it does. */
+export const LEADER_IDLE_MS = 1_000;
 /** ms: between the leader's rounds. */
 export const LEADER_TICK_MS = 250;
 /** ms: between reads of the machine list. */
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -35,7 +35,12 @@
     },
   ],
 ]);
-const gang = (tasks: number, waitedMs = 0, job = `job-${tasks}`): WaitingGang => ({ job, tasks, waitedMs });
+const gang = (tasks: number, waitedMs = 0, job = `job-${tasks}`): WaitingGang => ({
+  job,
+  tasks,
+  waitedMs,
+  patienceMs: 8_000,
+});
 const need = (over: Partial<Need>): Need => ({
   cpus: 4,
   gpus: 1,
@@ -231,7 +236,7 @@
     name: 'machines on their way count where they go, and are not ordered elsewhere',
     summaries: [
       summary(0, [whole({ gangs: [gang(2, 20_000)] })]),
-      summary(1, [whole({ gangs: [gang(1, 30_000)] })]),
+      summary(1, [whole({ gangs: [gang(1, 5_000)] })]),
       summary(2, [], [spare('n', { zone: 'b', spot: false }), spare('m', { zone: 'b', spot: false })]),
     ],
     refused: full,
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -3,6 +3,7 @@
   CATALOG_MS,
   CLOUD_RETRY_MS,
   HOLD_MAX_MS,
+  LEADER_IDLE_MS,
   LEADER_TICK_MS,
   LIST_MS,
   MOVE_SHOWN_MS,
@@ -101,10 +102,12 @@
   /** Repeats what only the leader does, as long as this node leads. */
   private duty(work: (claim: number) => Effect.Effect<void>): Effect.Effect<never> {
     return Effect.gen({ self: this }, function* () {
+      let leads = false;
       for (;;) {
-        yield* Effect.sleep(LEADER_TICK_MS);
+        yield* Effect.sleep(leads ? LEADER_TICK_MS : LEADER_IDLE_MS);
         const claim = this.input.entitled();
-        if (claim !== null && this.input.mirror.ready) yield* work(claim);
+        leads = claim !== null && this.input.mirror.ready;
+        if (claim !== null && leads) yield* work(claim);
         else this.rest();
       }
     });
@@ -121,7 +124,15 @@
         this.duty((claim) => Effect.andThen(this.recordAdopted(claim), this.act(claim))),
         this.duty((claim) => this.release(claim)),
         this.duty(() => this.readList()),
-        Effect.forever(Effect.andThen(Effect.sleep(LEADER_TICK_MS), this.readCatalog())),
+        Effect.forever(
+          Effect.andThen(
+            // Without a catalog no node is ready.
+            Effect.suspend(() =>
+              Effect.sleep(this.input.catalog() === null ? LEADER_TICK_MS : LEADER_IDLE_MS),
+            ),
+            this.readCatalog(),
+          ),
+        ),
       ],
       { concurrency: 'unbounded' },
     ),
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,4 +1,4 @@
-import { HIRE_MAX, HOLD_AFTER_MS, HOLD_MAX_MS, HOLD_SINGLE_AFTER_MS, TASKS_MAX } from '../constants.js';
+import { HIRE_MAX, HOLD_MAX_MS, TASKS_MAX } from '../constants.js';
 import { howMany, typeAllowed, type Catalog, type Demand, type MachineType } from '../jobs/model.js';
 import type { Hold, Need, Summary, WaitingGang } from './records.js';
 
@@ -236,6 +236,13 @@
       this.holds.push(holdOf(need, share, gang, best.zone, held));
   }
 
+  /** Work that needs no one zone, and yet has not begun since gangs are gathered for all the time. */
+  private starving(need: Need, share: number, gang: WaitingGang): void {
+    if (gang.waitedMs < gang.patienceMs || need.gang) return;
+    const held = this.input.holds.find((hold) => hold.share === share && hold.job === gang.job);
+    this.hold(need, share, gang, {}, new Set(), held);
+  }
+
   /** One a zone, so that two never block each other; bounded in time. */
   private hold(
     need: Need,
@@ -245,8 +252,7 @@
     zones: ReadonlySet<string>,
     held: Hold | undefined,
   ): void {
-    // A single task takes the first machine that comes free, unless others are gathered for all the time.
-    if (gang.waitedMs < (gang.tasks > 1 ? HOLD_AFTER_MS : HOLD_SINGLE_AFTER_MS)) return;
+    if (gang.waitedMs < gang.patienceMs) return;
     const open = (zone: string): boolean =>
       (need.zone === null || need.zone === zone) &&
       !this.holds.some((hold) => hold.zone === zone) &&
@@ -287,7 +293,17 @@
         if (need.gang && need.oneZone)
           for (const gang of need.gangs)
             wanted.push({ share: summary.share, need, gang, waitedMs: gang.waitedMs });
-        else wanted.push({ share: summary.share, need, gang: null, waitedMs: need.waitedMs });
+        else {
+          wanted.push({ share: summary.share, need, gang: null, waitedMs: need.waitedMs });
+          // Of these one machine will do for a start.
+          for (const job of need.gangs)
+            wanted.push({
+              share: summary.share,
+              need,
+              gang: need.gang ? job : { ...job, tasks: 1 },
+              waitedMs: job.waitedMs,
+            });
+        }
       }
     }
     // Gangs that machines are being gathered for keep their place, or two would take them from each other in turn.
@@ -298,7 +314,8 @@
         b.need.priority - a.need.priority || holding(b.gang) - holding(a.gang) || b.waitedMs - a.waitedMs,
     );
     for (const { share, need, gang } of wanted) {
-      if (gang) this.oneZoneGang(need, share, gang, rooms.get(need) ?? {});
+      if (gang && need.oneZone && need.gang) this.oneZoneGang(need, share, gang, rooms.get(need) ?? {});
+      else if (gang) this.starving(need, share, gang);
       else if (!this.input.behind.has(share)) {
         const missing = this.gather(need, share, null, need.tasks);
         if (missing > 0) this.rent(need, share, null, missing);
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -50,6 +50,8 @@
   readonly job: string;
   readonly tasks: number;
   readonly waitedMs: number;
+  /** How long it waits before machines are gathered for it. */
+  readonly patienceMs: number;
 }
 
 /**
@@ -90,7 +92,7 @@
   /** Worth an ordinary machine although spot ones are allowed. */
   readonly urgent: boolean;
   readonly priority: number;
-  /** Tasks in all; gangs are listed one by one too. */
+  /** Tasks in all; gangs, and other jobs of which nothing has begun, are listed one by one too. */
   readonly tasks: number;
   readonly gangs: readonly WaitingGang[];
   /** Of a one-zone gang: room that its share already has, by zone. */
--- a/src/http.ts
+++ b/src/http.ts
@@ -150,6 +150,7 @@
     req.on('end', () => {
       const send = (reply: Reply): void => {
         if (res.destroyed) return;
+        res.sendDate = false;
         const payload = reply.text !== undefined ? Buffer.from(reply.text) : encode(reply.body ?? {});
         res.writeHead(reply.status, {
           'content-type': reply.text !== undefined ? 'text/plain; charset=utf-8' : 'application/msgpack',
--- a/src/mesh/detour.ts
+++ b/src/mesh/detour.ts
@@ -96,7 +96,7 @@
 
   readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
     for (;;) {
-      yield* Effect.sleep(DETOUR_MS / 4);
+      yield* Effect.sleep(DETOUR_MS / 2);
       for (const summary of this.input.cutOff()) {
         const key = summaryKey(summary.share);
         if (!this.due(key)) continue;
--- a/src/placement/needs.ts
+++ b/src/placement/needs.ts
@@ -1,8 +1,18 @@
-import { NEEDS_NAMED, SPARES_NAMED, TASKS_MAX } from '../constants.js';
+import {
+  ASK_TASKS,
+  HOLD_AFTER_MOST_MS,
+  HOLD_AFTER_MS,
+  HOLD_AFTER_TARGET,
+  HOLD_PLAIN_AFTER_MS,
+  NEEDS_NAMED,
+  SPARES_NAMED,
+  TASKS_MAX,
+} from '../constants.js';
 import type { Need, Spare, Summary, WaitingGang } from '../fleet/records.js';
 import { howMany, placeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
 import { packAll, type Ask, type Limit, type Room, type Use } from './pack.js';
 import type { ShareMachine } from './state.js';
+import type { Objectives } from './urgency.js';
 
 export interface Waiting {
   readonly ask: Ask;
@@ -25,6 +35,18 @@
     ...[...catalog.values()].map((type) => howMany(spec, type, TASKS_MAX)),
   ].join('|');
 
+/**
+ * How long a job waits before machines are gathered for it: a gang that no zone has room for, half of its class's
+ * loosest start target; an array longer, since any machine that comes free will do for a start.
+ */
+const patience = (spec: JobSpec, objectives: ReadonlyMap<string, Objectives>): number => {
+  if (spec.kind !== 'gang') return HOLD_PLAIN_AFTER_MS;
+  const target = objectives.get(spec.klass)?.wait.at(-1);
+  return target === undefined
+    ? HOLD_AFTER_MS
+    : Math.min(HOLD_AFTER_MOST_MS, target * 1000 * HOLD_AFTER_TARGET);
+};
+
 interface Open extends Need {
   tasks: number;
   gangs: WaitingGang[];
@@ -40,6 +62,7 @@
   limits: ReadonlyMap<string, Limit>,
   uses: Map<string, Use>,
   catalog: Catalog,
+  objectives: ReadonlyMap<string, Objectives>,
   wall: number,
 ): readonly Need[] => {
   const coming = packAll(
@@ -59,7 +82,11 @@
     const { spec } = ask;
     const key = needClass(spec, ask.urgency.rent, catalog);
     const waitedMs = wall - ask.at;
-    const gang = spec.kind === 'gang' ? [{ job: spec.id, tasks: count, waitedMs }] : [];
+    // Of the others only those of which nothing has begun.
+    const listed = spec.kind === 'gang' || ask.waiting.length >= Math.min(spec.tasks, ASK_TASKS);
+    const gang = listed
+      ? [{ job: spec.id, tasks: count, waitedMs, patienceMs: patience(spec, objectives) }]
+      : [];
     const known = needs.get(key);
     if (known) {
       known.tasks += count;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -5,6 +5,7 @@
   EVICT_ASKS,
   EVICT_EVERY_MS,
   FLUSH_AGE_MS,
+  FLUSH_AT_ONCE,
   FLUSH_MS,
   PLACE_TICK_MS,
   PLAN_MS,
@@ -399,12 +400,14 @@
   private flush(): void {
     const now = this.input.now();
     if (this.flushing || now - this.flushedAt < FLUSH_MS || this.stage === 'lost') return;
+    const { changes } = this.input.store;
+    const ageMs = changes.demand() < changes.perSecond * FLUSH_AT_ONCE ? 0 : FLUSH_AGE_MS;
     const entries: { write: RunWrite }[] = [];
     for (const job of this.book.jobs.values()) {
       if (job.finishing || job.writing > 0) continue;
       if (job.bindings.size === 0 && (job.cancelled || isFinished(job))) continue;
       for (const [number, chunk] of job.chunks) {
-        if (chunk.dirtyFrom !== null && now - chunk.dirtyFrom >= FLUSH_AGE_MS)
+        if (chunk.dirtyFrom !== null && now - chunk.dirtyFrom >= ageMs)
           entries.push({ write: this.writer.runWrite(job, number) });
       }
     }
@@ -622,7 +625,15 @@
     const now = this.input.now();
     if (now - this.plannedAt < PLAN_MS) return;
     this.plannedAt = now;
-    const needs = needsOf(left, rooms, this.input.limits, uses, catalog, this.input.wall());
+    const needs = needsOf(
+      left,
+      rooms,
+      this.input.limits,
+      uses,
+      catalog,
+      this.input.objectives,
+      this.input.wall(),
+    );
     const free = [...this.book.machines.values()].filter(
       (machine) => machine.bound.size === 0 && this.movable(machine),
     );
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -61,13 +61,16 @@
   bootS: number,
   fetchS: number,
 ): Urgency => {
-  const list = targets(spec, objectives);
   const long = waitedS > SPOT_PATIENCE_S;
-  if (list.length === 0) return { place: long, rent: long };
-  const slack = (target: number): number => target - waitedS - spec.estimateS - fetchS;
+  /** Time left before the work must begin, for each target. */
+  const slacks = [
+    ...targets(spec, objectives).map((target) => target - waitedS - spec.estimateS - fetchS),
+    ...(objectives?.wait ?? []).map((target) => target - waitedS - fetchS),
+  ];
+  if (slacks.length === 0) return { place: long, rent: long };
   return {
-    place: list.some((target) => slack(target) >= 0 && slack(target) < URGENT_PLACE_S),
-    rent: long || list.some((target) => slack(target) >= bootS && slack(target) < bootS + URGENT_RENT_S),
+    place: slacks.some((slack) => slack >= 0 && slack < URGENT_PLACE_S),
+    rent: long || slacks.some((slack) => slack >= bootS && slack < bootS + URGENT_RENT_S),
   };
 };
 
--- a/src/service.test.ts
+++ b/src/service.test.ts
@@ -17,7 +17,7 @@
   ['blue', 16],
 ]);
 
-const settingsOf = (name: string): Settings => ({
+const settingsOf = (name: string, limits: ReadonlyMap<string, number>): Settings => ({
   host_name: name,
   area: 'x',
   api_addr: `${name}:1`,
@@ -31,7 +31,7 @@
   facts: {
     count: 3,
     zones: ['x', 'y'],
-    teams: [...LIMITS].map(([team, gpus]) => ({ name: team, cpus: 0, cpus_max: 0, gpus: 8, gpus_max: gpus })),
+    teams: [...limits].map(([team, gpus]) => ({ name: team, cpus: 0, cpus_max: 0, gpus: 8, gpus_max: gpus })),
     objectives: [],
     workers: { report_s: 3, lease_s: 15, gang_wait_s: 30, gang_peer_s: 4, cancel_s: CANCEL_MS / 1000 },
     state: { rps: 300, write_rps: 150, value_kb: 16, txn_ops: 32 },
@@ -62,7 +62,7 @@
     this.incarnation += 1;
     const alive = { yes: true };
     const never = new Promise<never>(() => undefined);
-    const controller = compose(settingsOf(name), {
+    const controller = compose(settingsOf(name, this.world.limits), {
       now: () => Date.now(),
       wall: () => Date.now(),
       incarnation: `${name}.${this.incarnation}`,
@@ -428,6 +428,92 @@
   });
 }
 
+// Smaller jobs of their priority took whatever came free first, and the largest gangs never began.
+test('service: of a saturated mix the largest gangs begin within 240 s, and each class and team is half served', async () => {
+  mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_700_000_000_000 });
+  const world = new World(
+    NODES,
+    new Luck(13),
+    15_000,
+    3_000,
+    new Map([
+      ['red', 200],
+      ['blue', 200],
+    ]),
+    CANCEL_MS,
+  );
+  const cluster = new Cluster(world);
+  const begun = new Map<string, number>();
+  const submitted = new Map<string, { job: StandInJob; at: number; kind: string }>();
+  try {
+    NODES.forEach((node) => cluster.up(node));
+    const gang = { shape: 'group', accelerators: 8, vcpus: 60, together: true };
+    const begin = Date.now();
+    let n = 0;
+    const submit = (kind: string, over: Partial<Record<string, unknown>>, runMs: number): void => {
+      n += 1;
+      const job = jobOf(n, { herd: kind, owner: n % 2 === 0 ? 'red' : 'blue', ...over }, runMs);
+      world.jobs.set(job.id, job);
+      submitted.set(job.id, { job, at: Date.now(), kind });
+      const send = async (): Promise<void> => {
+        for (;;) {
+          const answer = await world.call('user', NODES[n % 3] ?? 'n0', 'POST', '/v2/runs', job.body, 2_000);
+          if (answer._tag === 'answer' && answer.status < 300) return;
+          await new Promise((resolve) => setTimeout(resolve, 1_000));
+        }
+      };
+      void send();
+    };
+    let nextSmall = begin + 3_000;
+    let nextArray = begin + 3_000;
+    const larges = [40, 60, 80, 100, 120].map((at) => begin + at * 1000);
+    while (Date.now() < begin + 380_000) {
+      mock.timers.tick(STEP_MS);
+      await tick();
+      world.step();
+      for (const start of world.starts.splice(0)) {
+        const id = start.slice(0, start.indexOf('/'));
+        if (!begun.has(id)) begun.set(id, Date.now());
+      }
+      if (Date.now() > begin + 300_000) continue;
+      // Single machines for more than there are in all: 12 machines, 15 s each.
+      if (Date.now() >= nextSmall) {
+        nextSmall += 1_100;
+        submit('small', { ...gang, heads: 1 }, 12_000);
+      }
+      if (Date.now() >= nextArray) {
+        nextArray += 12_000;
+        submit('array', { heads: 6 }, 8_000);
+      }
+      if (larges[0] !== undefined && Date.now() >= larges[0]) {
+        larges.shift();
+        submit('large', { ...gang, heads: 5 }, 12_000);
+      }
+    }
+    assert.deepEqual(world.broken, []);
+    const groups = new Map<string, { all: number; served: number }>();
+    for (const [id, { job, at, kind }] of submitted) {
+      const start = begun.get(id);
+      if (kind === 'large') {
+        assert.ok(start !== undefined, `${id}, a large gang, never began`);
+        assert.ok(start - at <= 240_000, `${id}, a large gang, began after ${(start - at) / 1000} s`);
+      }
+      for (const group of [kind, job.team]) {
+        const known = groups.get(group) ?? { all: 0, served: 0 };
+        groups.set(group, known);
+        known.all += 1;
+        if (start !== undefined) known.served += 1;
+      }
+    }
+    assert.equal(submitted.size > 280, true, 'the mix saturates');
+    for (const [group, { all, served }] of groups)
+      assert.ok(served * 2 >= all, `${group}: ${served} of ${all} served`);
+  } finally {
+    NODES.forEach((node) => cluster.down(node));
+    mock.timers.reset();
+  }
+});
+
 test('service: a late report of a machine that was released does not bring it back for good', async () => {
   mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_700_000_000_000 });
   const world = new World(NODES, new Luck(12), 15_000, 3_000, LIMITS, CANCEL_MS);
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -1,4 +1,4 @@
-import { BUDGET_PUMP_MS, BUDGET_WINDOW_MS } from '../constants.js';
+import { BUDGET_LOOK_MS, BUDGET_PUMP_MS, BUDGET_WINDOW_MS } from '../constants.js';
 
 /** A token bucket with ranks: renewals and users' calls pass while background work waits. */
 export type Rank = 'vital' | 'user' | 'bind' | 'work';
@@ -98,10 +98,24 @@
     });
   }
 
+  /** When the first in some queue can have its tokens, or gives up: looking more often only costs time. */
+  private nextLookMs(): number {
+    this.refill();
+    let least = BUDGET_LOOK_MS;
+    for (const rank of RANKS) {
+      const head = this.queues[rank][0];
+      if (!head) continue;
+      const need = Math.min(head.count, this.rate - this.floor(rank));
+      const missing = this.floor(rank) + need - this.level;
+      least = Math.min(least, (missing / this.rate) * 1000, head.until - this.now());
+    }
+    return Math.max(BUDGET_PUMP_MS, least);
+  }
+
   private async pump(): Promise<void> {
     this.pumping = true;
     while (RANKS.some((rank) => this.queues[rank].length > 0)) {
-      await this.sleep(BUDGET_PUMP_MS);
+      await this.sleep(this.nextLookMs());
       for (const rank of RANKS) {
         const queue = this.queues[rank];
         for (let head = queue[0]; head; head = queue[0]) {
--- /dev/null
+++ b/src/testing/scale.ts
@@ -0,0 +1,184 @@
+/**
+ * What decisions cost as machines and jobs grow, on the machine that runs this: `node target/testing/scale.js`.
+ * Prints milliseconds of one placement round, one summary for the leader, one plan of the leader's and one takeover.
+ */
+import { planSteps } from '../fleet/plan.js';
+import type { Summary } from '../fleet/records.js';
+import type { Catalog, JobSpec } from '../jobs/model.js';
+import { asksOf, roomsOf, usesOf, type ViewInput } from '../placement/asks.js';
+import { Book } from '../placement/book.js';
+import { Custody } from '../placement/custody.js';
+import { needsOf, sparesOf } from '../placement/needs.js';
+import { packAll } from '../placement/pack.js';
+import { readRunRecord, runRecord, writeRunRecord } from '../placement/records.js';
+
+const SHARES = 5;
+const ZONES = ['x', 'y', 'z'];
+const catalog: Catalog = new Map([
+  [
+    'g',
+    {
+      name: 'g',
+      cpus: 64,
+      gpus: 8,
+      memoryGb: 384,
+      cacheGb: 80,
+      price: 20,
+      spotPrice: 5,
+      bootS: 40,
+      zones: ZONES,
+    },
+  ],
+]);
+const limits = new Map([['t', { cpusMax: 0, gpusMax: 1_000_000 }]]);
+
+const specOf = (n: number, gang: boolean): JobSpec => ({
+  id: `job-${n}`,
+  klass: gang ? 'gang' : 'array',
+  team: 't',
+  kind: gang ? 'gang' : 'array',
+  priority: 1,
+  tasks: gang ? 1 << (n % 5) : 50,
+  cpus: gang ? 57 : 5 + (n % 20) / 10,
+  gpus: gang ? 8 : 1,
+  memoryGb: gang ? 310 : 36,
+  types: null,
+  zone: null,
+  oneZone: gang,
+  spread: false,
+  spot: !gang,
+  image: `img-${n % 10}`,
+  imageGb: 5,
+  estimateS: 40,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+});
+
+/** One share with its machines full but for one in twenty, and a job waiting for every eight machines. */
+const shareOf = (machines: number) => {
+  const now = 1_000_000;
+  const book = new Book({ now: () => now, poke: () => undefined });
+  const custody = new Custody({
+    machines: book.machines,
+    catalog: () => catalog,
+    workers: { lease_s: 24, report_s: 5 },
+    now: () => now,
+    wall: () => now,
+  });
+  custody.loadedAt = 0;
+  let jobs = 0;
+  const add = (gang: boolean) => {
+    jobs += 1;
+    return book.adoptJob({ spec: specOf(jobs, gang), at: now - 20_000, cancelled: false }, 1);
+  };
+  let job = add(false);
+  let next = 0;
+  for (let m = 0; m < machines; m += 1) {
+    const record = {
+      share: 0,
+      type: 'g',
+      zone: ZONES[m % 3] ?? 'x',
+      spot: m % 2 === 0,
+      at: 0,
+      releasing: false,
+      addr: 'a:1',
+      session: 1,
+    };
+    const machine = book.addMachine(
+      `i-${m}`,
+      record,
+      1,
+      catalog.get('g') ?? { cpus: 0, gpus: 0, memoryGb: 0 },
+    );
+    machine.confirmedToken = 1;
+    machine.answeredAt = now;
+    if (m % 20 === 0) continue;
+    for (let k = 0; k < 8; k += 1) {
+      if (next >= job.spec.tasks) {
+        job = add(false);
+        next = 0;
+      }
+      book.apply(book.bind(job, next, 1, machine, { _tag: 'bound' }), {
+        _tag: 'reported',
+        state: { _tag: 'running' },
+      });
+      next += 1;
+    }
+  }
+  for (let k = 0; k < machines / 8; k += 1) add(k % 2 === 0);
+  const view: ViewInput = {
+    book,
+    custody,
+    catalog,
+    scarce: () => true,
+    guarantees: new Map(),
+    objectives: new Map(),
+    holds: [],
+    now,
+    wall: now,
+  };
+  return { book, view };
+};
+
+const round = (view: ViewInput) => {
+  const asks = asksOf(view);
+  const rooms = roomsOf(view);
+  const uses = usesOf(view.book);
+  const packed = packAll(
+    asks,
+    rooms.filter((room) => room.live),
+    limits,
+    uses,
+  );
+  return { packed, rooms, uses };
+};
+
+const median = (times: readonly number[]): number => [...times].sort((a, b) => a - b)[times.length >> 1] ?? 0;
+const timed = (work: () => unknown): number =>
+  median(
+    Array.from({ length: 25 }, () => {
+      const from = performance.now();
+      work();
+      return performance.now() - from;
+    }),
+  );
+
+const rows = [100, 1_000, 2_000].map((all) => {
+  const { book, view } = shareOf(all / SHARES);
+  const needs = () => {
+    const { packed, rooms, uses } = round(view);
+    return needsOf(packed.left, rooms, limits, uses, catalog, view.objectives, view.wall);
+  };
+  const summaries = Array.from({ length: SHARES }, (_, share): Summary => ({
+    share,
+    claim: 1,
+    revision: 1,
+    needs: needs(),
+    spares: sparesOf(
+      [...book.machines.values()].filter((machine) => machine.bound.size === 0),
+      view.now,
+    ),
+  }));
+  const records = [...book.jobs.values()].map((job) => writeRunRecord(runRecord(job, 0), 0));
+  const roundMs = timed(() => round(view));
+  return {
+    machines: all,
+    'jobs of a share': book.jobs.size,
+    'round ms': roundMs.toFixed(2),
+    'summary ms': (timed(needs) - roundMs).toFixed(2),
+    'plan ms': timed(() =>
+      planSteps({
+        summaries,
+        catalog,
+        refused: () => true,
+        machines: () => all / 6,
+        holds: [],
+        behind: new Set(),
+        moving: [],
+      }),
+    ).toFixed(2),
+    'takeover ms': timed(() => records.map((record) => readRunRecord(record, 0))).toFixed(2),
+  };
+});
+console.table(rows);
--- a/src/workers/line.ts
+++ b/src/workers/line.ts
@@ -20,17 +20,27 @@
 /**
  * Connections to workers are few against their number, and Node's agent counts idle ones against its total: a
  * command for a machine without a connection would wait behind idle ones of others until it is given up. So
- * a command's connection is its own and closes with it, and those beyond the bound are refused at once.
+ * the one that has been idle longest makes way, and a command beyond the bound is refused at once.
  */
 export class Line implements DirectLine {
-  private readonly agent: http.Agent;
+  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
   private open = 0;
-  constructor(private readonly sockets: number) {
-    this.agent = new http.Agent({ keepAlive: false });
+  constructor(private readonly sockets: number) {}
+
+  private makeRoom(): void {
+    const idle = this.agent.freeSockets;
+    let count = this.open;
+    for (const name in idle) count += idle[name]?.length ?? 0;
+    if (count < this.sockets) return;
+    for (const name in idle) {
+      idle[name]?.[0]?.destroy();
+      return;
+    }
   }
 
   send(addr: string, token: number, session: number, commands: readonly Command[]): Promise<DirectResult> {
     if (this.open >= this.sockets) return Promise.resolve({ _tag: 'refused', report: null });
+    this.makeRoom();
     this.open += 1;
     return new Promise<DirectResult>((resolve) => {
       const payload = encode({ ...(writeOrders(token, commands) as object), stint: session });
