--- a/src/constants.ts
+++ b/src/constants.ts
@@ -62,6 +62,12 @@
 /** Fraction of the request rate that watches may use: each change ends every node's watch. A node's share of it
  *  is the pause between two watches, some 0.2 s, little beside a report interval. */
 export const WATCH_SHARE = 0.15;
+/** Fraction of a second's rate that must be there for a batch to pass; the rest of it is owed. */
+export const BUDGET_DOWN = 0.25;
+/** Fraction of a second's rate, and changes at least, that one transaction holds: a larger one would leave the others
+ *  nothing for as long as it owes. */
+export const BATCH_SHARE = 0.6;
+export const BATCH_LEAST = 6;
 /** ms: between looks at the queue for budget, at least and at most; the rate may change in between. */
 export const BUDGET_PUMP_MS = 10;
 export const BUDGET_LOOK_MS = 250;
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -279,6 +279,21 @@
   });
 }
 
+// As much was asked for as the bucket holds, and users and renewals never left it full: finished tasks, releases and
+// arrays were refused for minutes, and machines stood idle beside waiting work.
+test('budget: a batch as large as the bucket passes beside steady small calls, and is paid for', () => {
+  let now = 0;
+  const budget = new Budget(12, 0.35, 2_000, () => now);
+  let batches = 0;
+  let users = 0;
+  for (; now < 60_000; now += 100) {
+    if (now % 300 === 0 && budget.tryTake(1, 'user')) users += 1;
+    if (budget.tryTake(12, 'work')) batches += 1;
+  }
+  assert.ok(batches >= 20, `${batches} batches`);
+  assert.ok(users * 1 + batches * 12 <= 12 * 61 + 12, 'no more than the rate in all');
+});
+
 test('budget: renewals pass when background work and users have used theirs', () => {
   let now = 0;
   const budget = new Budget(100, 0.35, 1_000, () => now);
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -167,7 +167,7 @@
 
   private recordAdopted(claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const batch = [...this.adopting].slice(0, this.input.store.txnOps);
+      const batch = [...this.adopting].slice(0, this.input.store.batchOps);
       for (const [id] of batch) this.adopting.delete(id);
       const fresh = batch.filter(([id]) => this.input.mirror.get(machineKey(id)) === undefined);
       if (fresh.length === 0) return;
@@ -204,7 +204,7 @@
     return Effect.gen({ self: this }, function* () {
       const wanted = [...this.input.mirror.under('w/m/')]
         .filter((item) => readMachineRecord(item.value).releasing)
-        .slice(0, Math.min(RELEASE_MAX, this.input.store.txnOps));
+        .slice(0, Math.min(RELEASE_MAX, this.input.store.batchOps));
       if (wanted.length === 0) return;
       const ids = wanted.map((item) => item.key.slice('w/m/'.length));
       const released = yield* this.input.cloud.release(ids);
@@ -223,7 +223,7 @@
             ...wanted.map((item) => ({ key: item.key, version: item.version })),
           ],
           wanted.map((item) => ({ _tag: 'delete', key: item.key })),
-          'user',
+          'bind',
         );
         if (result._tag === 'committed' || result._tag === 'conflict') return;
         yield* Effect.sleep(STORE_RETRY_MS);
@@ -393,7 +393,7 @@
             { share: step.shares[index] ?? 0, type, zone, spot, at, releasing: false, addr: '', session: 0 },
           ]);
           while (made.length > 0) {
-            const batch = made.splice(0, this.input.store.txnOps);
+            const batch = made.splice(0, this.input.store.batchOps);
             const written = yield* this.record(claim, batch);
             // Without an answer they may be recorded yet; if they are, they are known before the next try.
             if (written !== 'committed') for (const [id, record] of batch) this.adopting.set(id, record);
--- a/src/placement/asks.ts
+++ b/src/placement/asks.ts
@@ -92,8 +92,7 @@
     machine.free ??= freeOf(book, machine);
     const { free } = machine;
     if (free._tag === 'unclear') continue;
-    // Only what is wholly free is gathered: the rest may serve small work while it lasts.
-    const held = machine.bound.size === 0 ? heldBy(input.holds, machine) : null;
+    const held = heldBy(input.holds, machine);
     rooms.push({
       id: machine.id,
       type: machine.type,
@@ -105,6 +104,7 @@
       live,
       kept: keptForOthers(machine, idle, input),
       held,
+      empty: machine.bound.size === 0,
     });
   }
   return rooms;
--- a/src/placement/needs.ts
+++ b/src/placement/needs.ts
@@ -100,7 +100,7 @@
     const room: Record<string, number> = {};
     if (spec.oneZone) {
       for (const free of rooms) {
-        if (!placeAllowed(spec, free) || (free.held && free.held.job !== ask.job)) continue;
+        if (!placeAllowed(spec, free) || (free.empty && free.held && free.held.job !== ask.job)) continue;
         room[free.zone] = (room[free.zone] ?? 0) + howMany(spec, free.free, count);
       }
     }
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -54,6 +54,7 @@
   live: true,
   kept: 'no',
   held: null,
+  empty: false,
   ...over,
 });
 const LIMIT: Limit = { cpusMax: 0, gpusMax: 100 };
@@ -161,6 +162,30 @@
     ],
     puts: ['job-1/0@c', 'job-1/1@a'],
   },
+  // Machines in use were filled again and again by small work, and gangs of whole machines never found one.
+  {
+    name: 'what is gathered for a gang is left alone: empty by all, in use by work that has spot to go to',
+    asks: [
+      ask({ id: 'job-1', kind: 'gang' }),
+      ask({ id: 'job-2', kind: 'gang', tasks: 2, gpus: 8, cpus: 64 }),
+      ask({ id: 'job-3', spot: true }),
+      ask({ id: 'job-4', priority: 2 }),
+    ],
+    rooms: [
+      room('a', 'x', 8, { empty: true, held: { job: 'job-9', priority: 1 } }),
+      room('b', 'x', 1, { held: { job: 'job-9', priority: 1 } }),
+    ],
+    puts: ['job-1/0@b', 'job-4/0@a'],
+  },
+  {
+    name: 'the gang itself goes first',
+    asks: [
+      ask({ id: 'job-1', kind: 'gang', gpus: 8, cpus: 64, estimateS: 1 }),
+      ask({ id: 'job-9', kind: 'gang', gpus: 8, cpus: 64 }, { gathering: true }),
+    ],
+    rooms: [room('a', 'x', 8, { empty: true, held: { job: 'job-9', priority: 1 } })],
+    puts: ['job-9/0@a'],
+  },
 ];
 for (const row of rows) {
   test(`pack: ${row.name}`, () => {
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -16,6 +16,8 @@
   readonly kept: 'no' | 'reserve' | 'always';
   /** Being gathered for this job: work of its priority and below leaves it alone. */
   readonly held: { readonly job: string; readonly priority: number } | null;
+  /** Nothing is on it. */
+  readonly empty: boolean;
 }
 
 export interface Ask {
@@ -161,12 +163,22 @@
   }
 };
 
+/**
+ * What is gathered for another job is left alone: machines that are empty by all, and those in use by work that has
+ * spot machines to go to, or they would be filled again and again and never be empty.
+ */
+const gathered = (ask: Ask, room: Room): boolean =>
+  room.held !== null &&
+  room.held.job !== ask.job &&
+  ask.spec.priority <= room.held.priority &&
+  (room.empty || (ask.spec.spot && !room.spot));
+
 const usable = (ask: Ask, rooms: readonly Room[]): readonly Room[] =>
   rooms.filter(
     (room) =>
       // Most rooms are full, so this comes first.
       fitsIn(ask.spec, room.free) &&
-      !(room.held && room.held.job !== ask.job && ask.spec.priority <= room.held.priority) &&
+      !gathered(ask, room) &&
       placeAllowed(ask.spec, room) &&
       !(ask.spec.spot && !room.spot && heldBack(ask, room)) &&
       !ask.failedOn.has(room.id),
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -350,7 +350,10 @@
         }),
     ];
     while (records.length > 0)
-      void this.writer.assign(records.splice(0, this.input.store.txnOps), raise.length > 0 ? 'bind' : 'work');
+      void this.writer.assign(
+        records.splice(0, this.input.store.batchOps),
+        raise.length > 0 ? 'bind' : 'work',
+      );
   }
 
   /** Free for another share: nothing on it but exits that are settled, which any holder may have forgotten. */
@@ -383,7 +386,7 @@
     });
     const batches: Promise<boolean>[] = [];
     while (records.length > 0)
-      batches.push(this.writer.assign(records.splice(0, this.input.store.txnOps), 'bind'));
+      batches.push(this.writer.assign(records.splice(0, this.input.store.batchOps), 'bind'));
     return (await Promise.all(batches)).some(Boolean);
   }
 
@@ -422,7 +425,7 @@
           'work',
         );
       if (this.orphans.length > 0) {
-        const keys = this.orphans.splice(0, this.input.store.txnOps);
+        const keys = this.orphans.splice(0, this.input.store.batchOps);
         if (!(await this.writer.clear(keys))) this.orphans.push(...keys);
       }
     };
@@ -450,7 +453,7 @@
       if (job.finishing || job.writing > 0 || job.bindings.size > 0) continue;
       if (!job.cancelled && !isFinished(job)) continue;
       const more = this.writer.finalSize(job);
-      if (job.finishAlone || size + more > this.input.store.txnOps) send();
+      if (job.finishAlone || size + more > this.input.store.batchOps) send();
       batch.push({ job, state: job.cancelled ? 'cancelled' : 'done' });
       size += more;
       if (job.finishAlone) send();
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -125,7 +125,7 @@
     let bytes = 0;
     for (const entry of entries) {
       const size = sizeOf(entry.write.record);
-      if (batch.length > 0 && (batch.length >= this.input.store.txnOps || bytes + size > TXN_BYTES / 2)) {
+      if (batch.length > 0 && (batch.length >= this.input.store.batchOps || bytes + size > TXN_BYTES / 2)) {
         batches.push(batch);
         batch = [];
         bytes = 0;
--- a/src/store/budget.ts
+++ b/src/store/budget.ts
@@ -1,4 +1,4 @@
-import { BUDGET_LOOK_MS, BUDGET_PUMP_MS, BUDGET_WINDOW_MS } from '../constants.js';
+import { BUDGET_DOWN, BUDGET_LOOK_MS, BUDGET_PUMP_MS, BUDGET_WINDOW_MS } from '../constants.js';
 
 /** A token bucket with ranks: renewals and users' calls pass while background work waits. */
 export type Rank = 'vital' | 'user' | 'bind' | 'work';
@@ -78,11 +78,17 @@
     this.at = now;
   }
 
+  /**
+   * What must be there for a call to pass. Of a batch only a part: the rest is owed, and what comes after waits for
+   * it. Were the whole asked for, a batch as large as the bucket would need it full, which others never leave it.
+   */
+  private need(count: number, rank: Rank): number {
+    return Math.min(count, this.rate * BUDGET_DOWN, this.rate - this.floor(rank));
+  }
+
   tryTake(count: number, rank: Rank): boolean {
     this.refill();
-    // A batch larger than what the rank may ever hold passes when the bucket is full.
-    const need = Math.min(count, this.rate - this.floor(rank));
-    if (this.level - need < this.floor(rank)) return false;
+    if (this.level - this.need(count, rank) < this.floor(rank)) return false;
     this.level -= count;
     return true;
   }
@@ -105,8 +111,7 @@
     for (const rank of RANKS) {
       const head = this.queues[rank][0];
       if (!head) continue;
-      const need = Math.min(head.count, this.rate - this.floor(rank));
-      const missing = this.floor(rank) + need - this.level;
+      const missing = this.floor(rank) + this.need(head.count, rank) - this.level;
       least = Math.min(least, (missing / this.rate) * 1000, head.until - this.now());
     }
     return Math.max(BUDGET_PUMP_MS, least);
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -1,5 +1,7 @@
 import * as Effect from 'effect/Effect';
 import {
+  BATCH_LEAST,
+  BATCH_SHARE,
   CLAIM_TTL_MS,
   LIST_PAGE,
   RATE_RETRIES,
@@ -95,6 +97,10 @@
     this.rates = { requests: limits.rps, changes: limits.write_rps };
   }
   readonly txnOps: number;
+  /** Changes that one transaction should hold at the present rate. */
+  get batchOps(): number {
+    return Math.min(this.txnOps, Math.max(BATCH_LEAST, Math.floor(this.changes.perSecond * BATCH_SHARE)));
+  }
   /** ms: pause between two watches, so that they take a bounded part of the requests. */
   readonly watchGapMs: number;
   /** What all nodes together may use, a second. */
