--- a/src/constants.ts
+++ b/src/constants.ts
@@ -124,7 +124,7 @@
  *  reports, users' calls and renewals the rest. */
 export const ROUND_REST = 3;
 /** ms: between two rounds at least. Events that come within it share a round, and a report's answer waits for it. */
-export const ROUND_GAP_MS = 50;
+export const ROUND_GAP_MS = 100;
 /** Exits and ms: so many settled exits on a machine, or one so old, are forgotten together: each time one is, its
  *  worker reports anew. */
 export const FORGET_TOGETHER = 6;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -138,11 +138,29 @@
   readonly steps: Step[] = [];
   readonly holds: Hold[] = [];
   private readonly pools: readonly Pool[];
+  /** Hundreds of gangs of few needs wait on the roughest days: what depends on the need alone is worked out once. */
+  private readonly offered = new Map<Need, readonly Offer[]>();
+  private readonly reached = new Map<Need, Map<string, number>>();
   constructor(private readonly input: PlanInput) {
     this.pools = poolsOf(input);
   }
 
+  private offersOf(need: Need): readonly Offer[] {
+    let list = this.offered.get(need);
+    if (!list) this.offered.set(need, (list = offers(need, this.input)));
+    return list;
+  }
+
+  /** Tasks of the need on free machines of other shares in the zone. A need belongs to one share. */
   private reach(need: Need, share: number, zone: string): number {
+    let zones = this.reached.get(need);
+    if (!zones) this.reached.set(need, (zones = new Map<string, number>()));
+    let room = zones.get(zone);
+    if (room === undefined) zones.set(zone, (room = this.countReach(need, share, zone)));
+    return room;
+  }
+
+  private countReach(need: Need, share: number, zone: string): number {
     let room = 0;
     for (const pool of this.pools) {
       if (pool.zone !== zone) continue;
@@ -163,6 +181,7 @@
       for (const machine of pool.free.filter((candidate) => candidate.share !== share)) {
         if (left <= 0) break;
         pool.free.splice(pool.free.indexOf(machine), 1);
+        this.reached.clear();
         this.steps.push({ _tag: 'move', machine: machine.id, from: machine.share, to: share });
         left -= fits;
       }
@@ -171,7 +190,7 @@
   }
 
   private rent(need: Need, share: number, zone: string | null, missing: number): void {
-    for (const offer of offers(need, this.input)) {
+    for (const offer of this.offersOf(need)) {
       if (zone !== null && offer.zone !== zone) continue;
       // An ordinary machine for work that could use spot is worth its price only when filled.
       const filled = need.spot && !offer.spot;
@@ -207,7 +226,7 @@
   /** A one-zone gang needs its machines in one zone: complete the zone that lacks least, or begin a hold. */
   private oneZoneGang(need: Need, share: number, gang: WaitingGang, room: Record<string, number>): void {
     const held = this.input.holds.find((hold) => hold.share === share && hold.job === gang.job);
-    const rentable = new Set(offers(need, this.input).map((offer) => offer.zone));
+    const rentable = new Set(this.offersOf(need).map((offer) => offer.zone));
     const zones = new Set([...rentable, ...Object.keys(room), ...this.pools.map((pool) => pool.zone)]);
     let best: { zone: string; lack: number } | null = null;
     for (const zone of [...zones].sort()) {
--- a/src/placement/evict.ts
+++ b/src/placement/evict.ts
@@ -86,10 +86,13 @@
     let sizes = 0;
     let worst = 0;
     const left = usable.filter((machine) => zone === null || machine.zone === zone);
+    /** Plans stay as they are until a group with tasks on their machine goes for another's sake. */
+    const plans = new Map<Occupied, Plan | null>();
     while (missing > 0) {
       let pick: Plan | null = null;
       for (const machine of left) {
-        const plan = clear(spec, machine, gone);
+        let plan = plans.get(machine);
+        if (plan === undefined) plans.set(machine, (plan = clear(spec, machine, gone)));
         if (!plan) continue;
         const weight = (p: Plan): number => p.victims.reduce((sum, victim) => sum + size(victim), 0);
         const prior = (p: Plan): number => Math.max(-1, ...p.victims.map((victim) => victim.priority));
@@ -109,6 +112,10 @@
         const key = keyOf(pick.machine.id, victim);
         if (gone.has(key)) continue;
         gone.add(key);
+        if (victim.gang) {
+          for (const machine of left)
+            if (machine.groups.some((group) => group.job === victim.job)) plans.delete(machine);
+        }
         evictions.push({ machine: pick.machine.id, job: victim.job });
         sizes += size(victim);
         worst = Math.max(worst, victim.priority);
