Rounds get a part of the node's share; one beat a pair; workers make way at the socket limit

Done: a round rests until it takes a quarter of the node's own share, 0.25 s at least; polls are confirmed 4 times a second; head and body go in one write; of two nodes one begins the beat; what is done is not stopped one by one; adoption in full batches. At 85 % of its connections a node no longer keeps workers'; connections silent for 60 s are closed; commands ask for the right to send at the moment of sending.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -21,6 +21,10 @@
 
 /** ms: between beats to each sibling; the leader acts on what beats say. */
 export const BEAT_MS = 1_000;
+/** Beats after which the second of two nodes, by name, begins an exchange that the first should have begun. */
+export const BEAT_OTHER = 1.25;
+/** Fraction of that time after which a timer that fires a little early still begins it. */
+export const BEAT_DUE = 0.9;
 /** ms: between two beats to the leader when something changed; a change a few rounds apart shares one. */
 export const BEAT_HURRY_MS = 400;
 /** ms: a share's needs are worked out this often at most; the leader acts on them no faster. */
@@ -35,8 +39,9 @@
 export const DETOUR_MS = 2_000;
 /** ms: what came that way counts this long. */
 export const DETOUR_FRESH_MS = 7_000;
-/** ms: users' questions wait this long for others, to be read fresh together. */
-export const FRESH_BATCH_MS = 120;
+/** ms: users' questions wait this long for others, to be read fresh together. Some twenty a second come to each of several
+ *  nodes: at half of this nearly each was a request of its own, a third of all that the state service was asked. */
+export const FRESH_BATCH_MS = 250;
 /** ms and times: a call of a user's that the state service had no rate left for is tried again here, so that the
  *  user need not. */
 export const RATE_RETRY_MS = 120;
@@ -91,6 +96,8 @@
 export const BODY_MAX_BYTES = 64 * 1024;
 /** bytes: bound on what we read from the state service, the cloud and siblings. */
 export const ANSWER_MAX_BYTES = 16 * 1024 * 1024;
+/** bytes: bodies up to this size are written together with their head; larger ones are not worth the copy. */
+export const ONE_WRITE_BYTES = 4 * 1024;
 /** Tasks of one job (protocol). */
 export const TASKS_MAX = 100_000;
 /** Characters: longest text field in a submission, so that a job's record stays small. */
@@ -101,6 +108,12 @@
 export const USER_BUDGET_MS = 1_800;
 /** Fraction of the socket limit for incoming connections. */
 export const SOCKETS_IN = 0.76;
+/** Fraction of those above which workers no longer keep theirs between reports: one node may be left for all workers,
+ *  more than it has sockets, and users, health checks and other controllers must still find room. */
+export const SOCKETS_CROWDED = 0.85;
+/** ms: a connection unused for so long is closed. Workers and users call every few seconds; what is silent for many
+ *  times that is a machine that died or was cut off, whose end of the connection never closes. */
+export const CONNECTION_IDLE_MS = 60_000;
 /** Fraction of the socket limit for connections to workers, idle ones included. */
 export const SOCKETS_DIRECT = 0.12;
 /** Sockets to one address. */
@@ -120,11 +133,12 @@
 export const EVICT_AFTER_MS = 2_500;
 /** Transactions of one share under way at once; an answer takes some 10 ms, so these fill any rate. */
 export const COMMITS_AT_ONCE = 6;
-/** Times a round's own length that passes before the next begins: rounds take a quarter of the core at most, and
- *  reports, users' calls and renewals the rest. */
-export const ROUND_REST = 3;
-/** ms: between two rounds at least. Events that come within it share a round, and a report's answer waits for it. */
-export const ROUND_GAP_MS = 100;
+/** Fraction of this node's share of a core that rounds may take; reports, users' calls and renewals need the rest. A
+ *  round of a backlog lasts many times as long as one without, and would else fill whatever core there is. */
+export const ROUND_SHARE = 0.25;
+/** ms: between two rounds at least. Events that come within it share a round, and a report's answer waits for it. Some
+ *  hundred events a second would else make a round each; a start a fifth of a second later matters to no target. */
+export const ROUND_GAP_MS = 250;
 /** Exits and ms: so many settled exits on a machine, or one so old, are forgotten together: each time one is, its
  *  worker reports anew. */
 export const FORGET_TOGETHER = 6;
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -167,7 +167,8 @@
 
   private recordAdopted(claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const batch = [...this.adopting].slice(0, this.input.store.batchOps);
+      // Each unknown worker asks around once a second until it is recorded, so all that fit go at once; the rate is owed.
+      const batch = [...this.adopting].slice(0, this.input.store.txnOps);
       for (const [id] of batch) this.adopting.delete(id);
       const fresh = batch.filter(([id]) => this.input.mirror.get(machineKey(id)) === undefined);
       if (fresh.length === 0) return;
--- a/src/http.ts
+++ b/src/http.ts
@@ -1,11 +1,26 @@
 import * as http from 'node:http';
+import type { Socket } from 'node:net';
 import { Packr } from 'msgpackr';
-import { ANSWER_MAX_BYTES, BODY_MAX_BYTES } from './constants.js';
+import {
+  ANSWER_MAX_BYTES,
+  BODY_MAX_BYTES,
+  CONNECTION_IDLE_MS,
+  ONE_WRITE_BYTES,
+  SOCKETS_CROWDED,
+} from './constants.js';
 
 /** MessagePack over Node's own HTTP: one keep-alive agent per address, bounded sockets, bounded bodies. */
 const packr = new Packr({ useRecords: false, mapsAsObjects: true, int64AsType: 'number' });
 
 export const encode = (value: unknown): Buffer => packr.pack(value);
+
+/**
+ * A body as Node sends it together with the head in one write: as text of one byte a character. Given as bytes, head and
+ * body are corked and gathered, which costs more than the copy of a small body.
+ */
+export const oneWrite = (payload: Buffer): [string | Buffer, BufferEncoding] =>
+  payload.length <= ONE_WRITE_BYTES ? [payload.toString('latin1'), 'latin1'] : [payload, 'latin1'];
+
 export const decode = (body: Buffer): unknown => packr.unpack(body);
 
 export type Answer =
@@ -91,7 +106,8 @@
         req.destroy();
       }, timeoutMs);
       req.on('error', (error) => end({ _tag: 'silence', why: error.message }));
-      req.end(payload);
+      if (payload) req.end(...oneWrite(payload));
+      else req.end();
     });
   }
 }
@@ -123,7 +139,7 @@
   if (size > limit) return { _tag: 'tooLarge' };
   if (size === 0) return { _tag: 'empty' };
   try {
-    const value = decode(Buffer.concat(parts));
+    const value = decode(parts.length === 1 && parts[0] ? parts[0] : Buffer.concat(parts));
     if (limit === BODY_MAX_BYTES && size > limit / 4 && JSON.stringify(value).length > limit)
       return { _tag: 'tooLarge' };
     return { _tag: 'value', value };
@@ -132,14 +148,28 @@
   }
 };
 
+/** What one listening address may hold open. */
+export interface Guests {
+  readonly connections: number;
+  /** Calls whose callers are so many that they must not keep connections once most are in use: the next call makes a
+   *  new one, while all others find room. */
+  readonly crowd?: (path: string) => boolean;
+  /** ms after which an unused connection is closed; as the constant says unless given. */
+  readonly idleMs?: number;
+}
+
 export const serve = (
   at: Target,
-  connections: number,
+  guests: Guests,
   limit: number,
   handle: (call: Call) => Promise<Reply>,
   failed: (error: unknown) => void,
 ): Promise<http.Server> => {
+  /** When each open connection was last used. */
+  const used = new Map<Socket, number>();
+  const full = guests.connections * SOCKETS_CROWDED;
   const server = http.createServer((req, res) => {
+    used.set(req.socket, performance.now());
     const parts: Buffer[] = [];
     let size = 0;
     req.on('data', (part: Buffer) => {
@@ -151,13 +181,14 @@
       const send = (reply: Reply): void => {
         if (res.destroyed) return;
         res.sendDate = false;
+        if (used.size > full && guests.crowd?.(req.url ?? '')) res.shouldKeepAlive = false;
         const payload = reply.text !== undefined ? Buffer.from(reply.text) : encode(reply.body ?? {});
         res.writeHead(reply.status, {
           'content-type': reply.text !== undefined ? 'text/plain; charset=utf-8' : 'application/msgpack',
           'content-length': payload.length,
           ...reply.headers,
         });
-        res.end(payload);
+        res.end(...oneWrite(payload));
       };
       const url = req.url ?? '/';
       const mark = url.indexOf('?');
@@ -172,7 +203,18 @@
       });
     });
   });
-  server.maxConnections = connections;
+  server.on('connection', (socket) => {
+    used.set(socket, performance.now());
+    socket.once('close', () => used.delete(socket));
+  });
+  // The far end of a machine that died, or is cut off, never closes: such connections would add up.
+  const idleMs = guests.idleMs ?? CONNECTION_IDLE_MS;
+  const sweep = setInterval(() => {
+    const since = performance.now() - idleMs;
+    for (const [socket, last] of used) if (last < since) socket.destroy();
+  }, idleMs / 4).unref();
+  server.once('close', () => clearInterval(sweep));
+  server.maxConnections = guests.connections;
   server.keepAliveTimeout = 0;
   server.requestTimeout = 0;
   server.headersTimeout = 30_000;
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -1,8 +1,10 @@
 import * as Effect from 'effect/Effect';
 import {
+  BEAT_DUE,
   BEAT_FRESH_MS,
   BEAT_HURRY_MS,
   BEAT_MS,
+  BEAT_OTHER,
   BUDGET_EVEN,
   MESH_TIMEOUT_MS,
   SOCKETS_MESH,
@@ -74,6 +76,8 @@
   private readonly clients = new Map<string, Caller>();
   private readonly known = new Map<string, Known>();
   private readonly wakes = new Map<string, () => void>();
+  /** Siblings that are to hear of something at once. */
+  private readonly hurried = new Set<string>();
 
   constructor(private readonly input: MeshInput) {
     for (const sibling of input.siblings) {
@@ -187,21 +191,42 @@
     if (leader !== undefined) this.wakes.get(leader)?.();
   }
 
+  private waitMs(node: string): number {
+    return BEAT_MS * (this.input.me < node ? 1 : BEAT_OTHER);
+  }
+
+  /** ms until this node would begin an exchange with that one. */
+  private nextMs(node: string): number {
+    const known = this.known.get(node);
+    const age = known ? this.input.now() - known.at : 0;
+    const wait = this.waitMs(node);
+    // One that does not answer is tried every beat.
+    return age >= wait ? BEAT_MS : Math.max(BEAT_HURRY_MS / 4, wait - age);
+  }
+
   private pause(node: string): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, BEAT_MS);
+      const timer = setTimeout(resolve, this.nextMs(node));
       const begun = this.input.now();
       this.wakes.set(node, () => {
         this.wakes.delete(node);
+        this.hurried.add(node);
         clearTimeout(timer);
         setTimeout(resolve, Math.max(0, BEAT_HURRY_MS - (this.input.now() - begun)));
       });
     });
   }
 
+  /** Each answers a beat with its own, so of two nodes one need begin: the other does when it was not heard in time. */
+  private due(node: string): boolean {
+    const known = this.known.get(node);
+    if (known === undefined || this.hurried.delete(node)) return true;
+    return this.input.now() - known.at >= this.waitMs(node) * BEAT_DUE;
+  }
+
   private beatTo(node: string): Effect.Effect<never> {
     return Effect.promise(async () => {
-      this.note(await this.ask(node, '/beat', this.input.beat(node)));
+      if (this.due(node)) this.note(await this.ask(node, '/beat', this.input.beat(node)));
     }).pipe(Effect.andThen(Effect.promise(() => this.pause(node))), Effect.forever);
   }
 
--- a/src/placement/book.ts
+++ b/src/placement/book.ts
@@ -134,7 +134,8 @@
   stop(binding: Binding, reason: Stop['reason'], graceS: number): void {
     if (binding.stop && binding.stop.graceS <= graceS) return;
     binding.stop = { reason, graceS, since: this.input.now() };
-    if (onMachine(binding.phase)) this.stops.add(binding);
+    // What is finished ends by itself, with the others of its gang; a worker that missed that hears of it with its report.
+    if (onMachine(binding.phase) && reason !== 'finished') this.stops.add(binding);
     this.input.poke();
   }
 
--- /dev/null
+++ b/src/placement/share.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ROUND_GAP_MS, ROUND_SHARE } from '../constants.js';
+import { Book } from './book.js';
+import { restMs } from './share.js';
+
+/** What rounds may cost, and what is not sent twice. */
+const rests: readonly { name: string; roundMs: number; coreShare: number; partOfCore: number }[] = [
+  { name: 'a short round', roundMs: 0.5, coreShare: 0.136, partOfCore: 0.002 },
+  {
+    name: 'a round of a backlog on a small part of a core',
+    roundMs: 30,
+    coreShare: 0.136,
+    partOfCore: 0.034,
+  },
+  { name: 'the same on a larger part', roundMs: 60, coreShare: 0.357, partOfCore: 0.0893 },
+  { name: 'a whole core', roundMs: 200, coreShare: 1, partOfCore: 0.25 },
+  { name: 'several cores, of which one process uses one', roundMs: 200, coreShare: 4, partOfCore: 0.25 },
+];
+for (const row of rests) {
+  // Guards against rounds of hundreds of waiting gangs that took a quarter of a whole core on every node.
+  test(`rounds: ${row.name} leaves the rest to reports and users`, () => {
+    const rest = restMs(row.roundMs, row.coreShare);
+    assert.ok(rest >= ROUND_GAP_MS);
+    const part = row.roundMs / (row.roundMs + rest);
+    assert.ok(part <= Math.min(1, row.coreShare) * ROUND_SHARE + 1e-9, `${part} of a core`);
+    assert.ok(Math.abs(part - row.partOfCore) < 0.001, `${part} of a core`);
+  });
+}
+
+test('book: tasks of a gang that is done are not told to stop one by one', () => {
+  // They end together and each worker reports so itself: of a gang of 16, 15 commands were sent for nothing.
+  const book = new Book({ now: () => 0, poke: () => undefined });
+  const tasks = 3;
+  const spec = {
+    id: 'job-1',
+    klass: 'c',
+    team: 't',
+    kind: 'gang' as const,
+    priority: 1 as const,
+    tasks,
+    cpus: 1,
+    gpus: 1,
+    memoryGb: 1,
+    types: null,
+    zone: null,
+    oneZone: true,
+    spread: false,
+    spot: false,
+    image: 'i',
+    imageGb: 1,
+    estimateS: 1,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+  };
+  const job = book.adoptJob({ spec, at: 0, cancelled: false }, 1);
+  const record = {
+    share: 0,
+    type: 'g',
+    zone: 'x',
+    spot: false,
+    at: 0,
+    releasing: false,
+    addr: '',
+    session: 1,
+  };
+  const total = { cpus: 8, gpus: 8, memoryGb: 8 };
+  const bindings = Array.from({ length: tasks }, (_, index) =>
+    book.bind(job, index, 1, book.addMachine(`i-${index}`, record, 1, total), { _tag: 'running' }),
+  );
+  const [first, ...others] = bindings;
+  assert.ok(first);
+  book.apply(first, { _tag: 'reported', state: { _tag: 'exited', cause: 'done', saved: false } });
+  assert.equal(job.done.size, tasks);
+  assert.equal(book.stops.size, 0, 'nothing goes out directly');
+  for (const other of others)
+    assert.equal(other.stop?.reason, 'finished', 'a worker that missed it hears of it');
+  // A gang that broke is still told at once, all of it.
+  const broken = book.adoptJob({ spec: { ...spec, id: 'job-2' }, at: 0, cancelled: false }, 2);
+  for (let index = 0; index < tasks; index += 1) {
+    const machine = book.machines.get(`i-${index}`);
+    assert.ok(machine);
+    book.bind(broken, index, 1, machine, { _tag: 'running' });
+  }
+  book.breakGang(broken);
+  assert.equal(book.stops.size, tasks);
+});
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -10,7 +10,7 @@
   PLACE_TICK_MS,
   PLAN_MS,
   ROUND_GAP_MS,
-  ROUND_REST,
+  ROUND_SHARE,
   STORE_RETRY_MS,
   WATCH_MACHINES_MS,
 } from '../constants.js';
@@ -47,6 +47,8 @@
   readonly guarantees: ReadonlyMap<string, Use>;
   readonly objectives: ReadonlyMap<string, Objectives>;
   readonly workers: { readonly lease_s: number; readonly report_s: number };
+  /** Part of a core that this process may use. */
+  readonly coreShare: number;
   /** May this node act for the share now, under this very claim? */
   readonly entitled: () => boolean;
   /** Has another share a free machine that would do for this job? */
@@ -66,6 +68,10 @@
   readonly changed: () => void;
 }
 
+/** ms of rest that a round of this length earns: its node has a part of a core, and rounds a part of that. */
+export const restMs = (roundMs: number, coreShare: number): number =>
+  Math.max(ROUND_GAP_MS, roundMs * (1 / (Math.min(1, coreShare) * ROUND_SHARE) - 1));
+
 /** Why nothing is placed yet: reading the state, or waiting for the machines to report. */
 type Stage = 'loading' | 'rebuilding' | 'placing' | 'lost';
 
@@ -302,7 +308,7 @@
       const begun = this.input.now();
       this.round();
       const end = this.input.now();
-      this.restUntil = end + Math.max(ROUND_GAP_MS, (end - begun) * ROUND_REST);
+      this.restUntil = end + restMs(end - begun, this.input.coreShare);
     }
   });
 
--- a/src/service.ts
+++ b/src/service.ts
@@ -261,6 +261,7 @@
     guarantees,
     objectives,
     workers: facts.workers,
+    coreShare: facts.quota.core_share,
     holds: () => holdsFor(slot),
     entitled: () => keeper.entitled(String(slot)) === claim,
     spareElsewhere: (own, spec) =>
@@ -274,7 +275,11 @@
       ),
     now,
     wall,
-    direct: (addr, token, session, commands) => line.send(addr, token, session, commands),
+    // Asked for at the very moment of sending: this process may have stood still since the decision.
+    direct: (addr, token, session, commands) =>
+      keeper.entitled(String(slot)) === claim
+        ? line.send(addr, token, session, commands)
+        : Promise.resolve({ _tag: 'refused', report: null }),
     changed: () => mesh.hurry(),
   });
 
@@ -399,10 +404,16 @@
   });
   const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
   const connections = Math.floor(settings.facts.quota.fd_limit * SOCKETS_IN);
-  await serve(parseTarget(settings.api_addr), connections, BODY_MAX_BYTES, controller.route, failed);
+  await serve(
+    parseTarget(settings.api_addr),
+    { connections, crowd: (path) => path === '/hello' },
+    BODY_MAX_BYTES,
+    controller.route,
+    failed,
+  );
   await serve(
     parseTarget(settings.mesh_addr),
-    (settings.siblings.length + 1) * 16,
+    { connections: (settings.siblings.length + 1) * 16 },
     ANSWER_MAX_BYTES,
     controller.mesh,
     failed,
--- a/src/workers/line.ts
+++ b/src/workers/line.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import { DIRECT_TIMEOUT_MS } from '../constants.js';
-import { decode, encode, parseTarget } from '../http.js';
+import { decode, encode, oneWrite, parseTarget } from '../http.js';
 import { readReport, writeOrders } from './codec.js';
 import type { Command, Report } from './model.js';
 
@@ -87,7 +87,7 @@
         else socket.once('connect', () => (connected = true));
       });
       req.on('error', () => end(connected ? { _tag: 'unsure' } : { _tag: 'refused', report: null }));
-      req.end(payload);
+      req.end(...oneWrite(payload));
     }).finally(() => {
       this.open -= 1;
     });
