--- a/src/workers/react.test.ts
+++ b/src/workers/react.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { FORGET_AFTER_MS } from '../constants.js';
 import type { Binding, ShareMachine } from '../placement/state.js';
 import { bindingKey } from '../placement/state.js';
 import { nextPhase, type Phase } from '../placement/task.js';
@@ -222,7 +223,7 @@
     name: 'a settled exit is forgotten, after a while in which others may join it',
     binding: null,
     report: reportOf([task({ _tag: 'exited', cause: 'done', saved: false })]),
-    now: 20_000,
+    now: FORGET_AFTER_MS + 1_000,
     expect: ['forget 3'],
   },
   {
