Lost machines go back a hundred a call, their records 16 a transaction

Cause: a release named as many machines as one transaction of this node's rate holds, 6 to 30, at two calls a second that replacements need too: some 200 lost spot machines took half a minute and more. Tests on a virtual clock; a release that was carried out twice changes nothing.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -259,6 +259,8 @@
 export const HIRE_MAX = 50;
 /** Names in one release (protocol). */
 export const RELEASE_MAX = 100;
+/** Records of released machines deleted in one transaction: small enough that binds beside it need not wait long. */
+export const RECORDS_GONE = 16;
 /** ms: pause after a cloud call that failed. */
 export const CLOUD_RETRY_MS = 1_500;
 
--- /dev/null
+++ b/src/fleet/leader.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import { mock, test } from 'node:test';
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import type { Callers } from '../http.js';
+import { Store } from '../store/client.js';
+import { Mirror } from '../store/mirror.js';
+import { StateStandIn } from '../testing/world.js';
+import { Cloud } from './cloud.js';
+import { Leader } from './leader.js';
+import { writeMachineRecord } from './records.js';
+
+const MACHINES = 230;
+const CHANGES_A_SECOND = 50;
+
+const type = { sku: 'g', vcpus: 8, accelerators: 1, memoryGb: 8, localGb: 1, hourly: 1, marketPrice: 1 };
+
+/** The leader alone, against the state stand-in and a cloud that counts, on a virtual clock. */
+const withLeader = async (
+  known: readonly string[],
+  work: (leader: Leader, state: StateStandIn) => void,
+  seconds: number,
+): Promise<{ calls: string[]; state: StateStandIn }> => {
+  mock.timers.enable({ apis: ['setTimeout', 'Date', 'setInterval'] });
+  try {
+    const state = new StateStandIn();
+    const calls: string[] = [];
+    const callers: Callers = (target) => ({
+      request: (method, path, body) => {
+        if (target.host === 'state') return state.handle('n0', method, path, body);
+        calls.push(path);
+        return Promise.resolve({
+          _tag: 'answer',
+          status: 200,
+          body:
+            path === '/catalog'
+              ? { breeds: [{ ...type, readyS: 40, paddocks: ['x'] }] }
+              : { drovers: [], more: false },
+        });
+      },
+    });
+    const record = {
+      share: 0,
+      type: 'g',
+      zone: 'x',
+      spot: true,
+      at: 0,
+      releasing: true,
+      addr: '',
+      session: 0,
+    };
+    const puts = [
+      { write: 'w/c/L', data: { n: 'n0', i: '1' } },
+      ...known.map((id) => ({ write: `w/m/${id}`, data: writeMachineRecord(record) })),
+    ];
+    await state.handle('n0', 'POST', '/txn', { when: [], writes: puts });
+    const now = (): number => Date.now();
+    const limits = { rps: 150, write_rps: CHANGES_A_SECOND, txn_ops: 48, nodes: 1 };
+    const store = new Store({ host: 'state', port: 1 }, limits, now, callers);
+    const mirror = new Mirror(store);
+    const leader = new Leader({
+      store,
+      mirror,
+      cloud: new Cloud({ host: 'cloud', port: 1 }, 2, 1, now, callers),
+      shares: 3,
+      listLagS: 10,
+      catalog: () => new Map(),
+      entitled: () => 1,
+      summaries: () => [],
+      move: () => Effect.void,
+      now,
+      wall: now,
+    });
+    const fibers = [Effect.runFork(mirror.run), Effect.runFork(leader.run)];
+    let begun = false;
+    for (let at = 0; at < seconds * 1_000; at += 20) {
+      for (let k = 0; k < 6; k += 1) await new Promise((resolve) => setImmediate(resolve));
+      mock.timers.tick(20);
+      if (!begun && mirror.ready) {
+        begun = true;
+        work(leader, state);
+      }
+    }
+    for (const fiber of fibers) Effect.runFork(Fiber.interrupt(fiber));
+    return { calls, state };
+  } finally {
+    mock.timers.reset();
+  }
+};
+
+test('leader: hundreds of machines lost together go back in as few calls as the cloud allows', async () => {
+  // A handful a call, at two calls a second, took minutes in which replacements had to wait for the cloud's rate.
+  const ids = Array.from({ length: MACHINES }, (_, n) => `i-${String(n).padStart(6, '0')}`);
+  const { calls, state } = await withLeader(ids, () => undefined, 20);
+  assert.equal(calls.filter((path) => path === '/machines/release').length, Math.ceil(MACHINES / 100));
+  assert.deepEqual(state.keys('w/m/'), [], 'and their records are gone');
+});
+
+test('leader: hundreds of machines that are up at the start are taken over at the rate of the state service', async () => {
+  // Each asks around once a second until it is recorded; a few a transaction took half a minute of that.
+  const { state } = await withLeader(
+    [],
+    (leader) => {
+      for (let n = 0; n < MACHINES; n += 1) leader.adopt(`i-${String(n).padStart(6, '0')}`, 'g', 'x', false);
+    },
+    (MACHINES / CHANGES_A_SECOND) * 2,
+  );
+  assert.equal(state.keys('w/m/').length, MACHINES);
+});
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -9,13 +9,14 @@
   MOVE_SHOWN_MS,
   NO_CAPACITY_MAX_MS,
   NO_CAPACITY_MS,
+  RECORDS_GONE,
   RELEASE_MAX,
   RENTS_AT_ONCE,
   STORE_RETRY_MS,
 } from '../constants.js';
 import type { Catalog, MachineType } from '../jobs/model.js';
 import { log } from '../log.js';
-import type { Store } from '../store/client.js';
+import type { Item, Store } from '../store/client.js';
 import { CATALOG_KEY, claimKey, machineKey } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
 import type { Cloud, ListedMachine } from './cloud.js';
@@ -205,7 +206,8 @@
     return Effect.gen({ self: this }, function* () {
       const wanted = [...this.input.mirror.under('w/m/')]
         .filter((item) => readMachineRecord(item.value).releasing)
-        .slice(0, Math.min(RELEASE_MAX, this.input.store.batchOps));
+        // As many as one call takes: the cloud's rate is the scarcest, and replacements need it too.
+        .slice(0, RELEASE_MAX);
       if (wanted.length === 0) return;
       const ids = wanted.map((item) => item.key.slice('w/m/'.length));
       const released = yield* this.input.cloud.release(ids);
@@ -217,13 +219,21 @@
         // What we gave back may be had again.
         this.refusedUntil.delete(kindKey(record.type, record.zone, record.spot));
       }
+      while (wanted.length > 0)
+        yield* this.forget(claim, wanted.splice(0, Math.min(this.input.store.txnOps, RECORDS_GONE)));
+    });
+  }
+
+  /** Records of machines that are gone; what is not deleted now is released once more, which changes nothing. */
+  private forget(claim: number, gone: readonly Item[]): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
       for (let tries = 0; tries < 5; tries += 1) {
         const result = yield* this.input.store.txn(
           [
             { key: claimKey('L'), version: claim },
-            ...wanted.map((item) => ({ key: item.key, version: item.version })),
+            ...gone.map((item) => ({ key: item.key, version: item.version })),
           ],
-          wanted.map((item) => ({ _tag: 'delete', key: item.key })),
+          gone.map((item) => ({ _tag: 'delete', key: item.key })),
           'bind',
         );
         if (result._tag === 'committed' || result._tag === 'conflict') return;
