Walks over all machines read the clock once

Cause: reading the clock is a call into the simulated world; rooms, leases and returns read it several times for each machine and round.

--- a/src/placement/asks.ts
+++ b/src/placement/asks.ts
@@ -87,8 +87,8 @@
       machine.raiseToken
     )
       continue;
-    const live = custody.live(machine);
-    if (!live && !custody.expected(machine)) continue;
+    const live = custody.live(machine, input.now);
+    if (!live && !custody.expected(machine, input.now, input.wall)) continue;
     machine.free ??= freeOf(book, machine);
     const { free } = machine;
     if (free._tag === 'unclear') continue;
--- a/src/placement/custody.ts
+++ b/src/placement/custody.ts
@@ -17,7 +17,8 @@
 import type { Catalog } from '../jobs/model.js';
 import type { ShareMachine } from './state.js';
 
-/** What may be said of a share's machines from when they reported. Pure but for the clocks handed in. */
+/** What may be said of a share's machines from when they reported. Pure but for the clocks handed in, which walks over all
+ *  machines read once. */
 export interface CustodyInput {
   readonly machines: ReadonlyMap<string, ShareMachine>;
   readonly catalog: () => Catalog | null;
@@ -48,32 +49,32 @@
   }
 
   /** Never heard, and young enough that it may still come up. */
-  booting(machine: ShareMachine): boolean {
+  booting(machine: ShareMachine, wall = this.input.wall()): boolean {
     return (
       machine.answeredAt === null &&
       machine.bound.size === 0 &&
-      this.input.wall() - machine.since < (this.bootS(machine, 60) * BOOT_FACTOR + BOOT_SLACK_S) * 1000
+      wall - machine.since < (this.bootS(machine, 60) * BOOT_FACTOR + BOOT_SLACK_S) * 1000
     );
   }
 
   /** Still within the time in which a machine usually comes up: its room counts as coming. */
-  expected(machine: ShareMachine): boolean {
+  expected(machine: ShareMachine, now: number, wall: number): boolean {
     // It came from another share, where it was up and free: its worker is just being told.
     if (machine.addr !== '' && machine.answeredAt === null && machine.confirmedToken === 0)
-      return this.input.now() - machine.takenAt < GREET_MS;
+      return now - machine.takenAt < GREET_MS;
     return (
-      this.booting(machine) &&
-      this.input.wall() - machine.since < (this.bootS(machine, 0) * BOOT_USUAL + BOOT_USUAL_S) * 1000
+      this.booting(machine, wall) &&
+      wall - machine.since < (this.bootS(machine, 0) * BOOT_USUAL + BOOT_USUAL_S) * 1000
     );
   }
 
-  silent(machine: ShareMachine): boolean {
-    const from = machine.answeredAt ?? Math.max(this.loadedAt ?? this.input.now(), machine.takenAt);
-    return this.input.now() - from > this.leaseMs;
+  silent(machine: ShareMachine, now: number): boolean {
+    const from = machine.answeredAt ?? Math.max(this.loadedAt ?? now, machine.takenAt);
+    return now - from > this.leaseMs;
   }
 
-  live(machine: ShareMachine): boolean {
-    return machine.confirmedToken !== 0 && this.input.now() - (machine.answeredAt ?? 0) < this.leaseMs / 2;
+  live(machine: ShareMachine, now: number): boolean {
+    return machine.confirmedToken !== 0 && now - (machine.answeredAt ?? 0) < this.leaseMs / 2;
   }
 
   idle(machine: ShareMachine): boolean {
@@ -127,10 +128,10 @@
     for (const machine of this.input.machines.values()) {
       if (machine.releasing) continue;
       if (machine.answeredAt === null) {
-        if (this.silent(machine) && !this.booting(machine)) list.push({ machine, why: 'never came up' });
+        if (this.silent(machine, now) && !this.booting(machine)) list.push({ machine, why: 'never came up' });
         continue;
       }
-      if (this.silent(machine)) list.push({ machine, why: 'silent' });
+      if (this.silent(machine, now)) list.push({ machine, why: 'silent' });
       /*
        * A spot machine that stopped reporting was most likely taken back without notice. Releasing it is proof that
        * its tasks are gone, long before its lease would be; if it was only cut off, little is lost.
@@ -180,7 +181,8 @@
         machine.free = null;
       }
       if (machine.health._tag === 'suspect' && now > machine.health.until) machine.health = { _tag: 'fine' };
-      if (machine.bound.size > 0 && machine.confirmedToken !== 0 && this.silent(machine)) over.push(machine);
+      if (machine.bound.size > 0 && machine.confirmedToken !== 0 && this.silent(machine, now))
+        over.push(machine);
       if (this.idle(machine)) machine.idleSince ??= now;
       else machine.idleSince = null;
     }
--- a/src/placement/dialogue.test.ts
+++ b/src/placement/dialogue.test.ts
@@ -190,7 +190,8 @@
     name: 'a machine known only from a report that may be a late copy goes back after a lease of silence',
     run: (story) => {
       story.machine('m-2', 0);
-      assert.equal(story.custody.expected(story.book.machines.get('m-2') as ShareMachine), false);
+      const known = story.book.machines.get('m-2') as ShareMachine;
+      assert.equal(story.custody.expected(known, story.now, story.now), false);
       story.now += (LEASE_S + 2) * 1_000;
       assert.deepEqual(story.releases(), ['m-2 never came up'], 'those that boot are given their time');
     },
