--- /dev/null
+++ b/src/cancellation/assurance.ts
@@ -0,0 +1,116 @@
+import * as Effect from 'effect/Effect';
+import { Batcher } from '../batch.js';
+import { HEED_BATCH_MS, HEED_MOST } from '../constants.js';
+import type { Summary } from '../fleet/records.js';
+import type { Store } from '../store/client.js';
+import type { FreshReads } from '../store/fresh.js';
+import { claimKey, markKey } from '../store/keys.js';
+import type { Mirror } from '../store/mirror.js';
+import { assure, type FreshClaim } from './evidence.js';
+import { readMark } from './mark.js';
+
+/** A durable cancellation, as it is put to the holder of the job's share. */
+export interface Cancellation {
+  readonly slot: number;
+  /** The claim under which it is put. */
+  readonly claim: number;
+  readonly job: string;
+  /** The revision at which it became durable. */
+  readonly version: number;
+}
+
+export interface AssuranceInput {
+  readonly me: string;
+  readonly store: Store;
+  readonly fresh: FreshReads;
+  readonly mirror: Pick<Mirror, 'get'>;
+  /** Puts cancellations to the share held by this process under that claim; false: it does not hold it. */
+  readonly heed: (cancellation: Cancellation) => boolean;
+  readonly ask: (node: string, path: string, body: unknown) => Promise<unknown>;
+  readonly summaries: () => readonly Summary[];
+  readonly understands: (node: string) => boolean;
+}
+
+/** The messages between nodes. */
+const writeHeed = (list: readonly Cancellation[]): unknown =>
+  list.map(({ slot, claim, job, version }) => [slot, claim, job, version]);
+export const readHeed = (body: unknown): readonly Cancellation[] =>
+  (Array.isArray(body) ? (body as unknown[]) : []).flatMap((row) => {
+    if (!Array.isArray(row)) return [];
+    const [slot, claim, job, version] = row as unknown[];
+    return typeof slot === 'number' &&
+      typeof claim === 'number' &&
+      typeof job === 'string' &&
+      typeof version === 'number'
+      ? [{ slot, claim, job, version }]
+      : [];
+  });
+const readHeeded = (body: unknown, count: number): readonly boolean[] => {
+  const { heeded } = (body ?? {}) as { heeded?: unknown };
+  return Array.from({ length: count }, (_, index) => Array.isArray(heeded) && heeded[index] === true);
+};
+
+/** Finds out whether a cancellation may be told: reads the claim freshly and asks its holder. */
+export class Assurance {
+  private readonly askers = new Map<string, Batcher<Cancellation, boolean>>();
+  constructor(private readonly input: AssuranceInput) {}
+
+  private asker(node: string): Batcher<Cancellation, boolean> {
+    let asker = this.askers.get(node);
+    if (!asker) {
+      asker = new Batcher(HEED_BATCH_MS, HEED_MOST, async (list) =>
+        readHeeded(await this.input.ask(node, '/heed', writeHeed(list)), list.length),
+      );
+      this.askers.set(node, asker);
+    }
+    return asker;
+  }
+
+  private readonly nodeOf = (value: unknown): string => (value as { n: string }).n;
+
+  private claim(slot: number): Effect.Effect<FreshClaim> {
+    return Effect.gen({ self: this }, function* () {
+      const key = claimKey(String(slot));
+      const copy = this.input.mirror.get(key);
+      if (copy) {
+        const freshness = yield* this.input.fresh.confirm(key, copy.version);
+        if (freshness === 'failed') return { _tag: 'unsure' } as const;
+        if (freshness === 'same')
+          return { _tag: 'held', node: this.nodeOf(copy.value), version: copy.version } as const;
+      }
+      const read = yield* this.input.store.get(key, 'user');
+      switch (read._tag) {
+        case 'failed':
+          return { _tag: 'unsure' } as const;
+        case 'absent':
+          return { _tag: 'free' } as const;
+        case 'found':
+          return { _tag: 'held', node: this.nodeOf(read.item.value), version: read.item.version } as const;
+      }
+    });
+  }
+
+  /** May users be told of the cancellation that is durable at this revision? Asked after that, so the claim is read later. */
+  assured(slot: number, job: string, version: number): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const claim = yield* this.claim(slot);
+      const signs = { acknowledged: null, summary: null, mark: null, understands: false };
+      if (claim._tag !== 'held') return assure(version, claim, signs)._tag === 'assured';
+      const cancellation = { slot, claim: claim.version, job, version };
+      const mark = this.input.mirror.get(markKey(String(slot)));
+      const known = {
+        acknowledged: null,
+        summary: this.input.summaries().find((summary) => summary.share === slot) ?? null,
+        mark: mark ? readMark(mark.value) : null,
+        understands: this.input.understands(claim.node),
+      };
+      if (assure(version, claim, known)._tag === 'assured') return true;
+      const heeded =
+        claim.node === this.input.me
+          ? this.input.heed(cancellation)
+          : yield* Effect.promise(() => this.asker(claim.node).ask(cancellation));
+      const acknowledged = heeded ? { claim: claim.version } : null;
+      return assure(version, claim, { ...known, acknowledged })._tag === 'assured';
+    });
+  }
+}
--- a/src/claims/keeper.ts
+++ b/src/claims/keeper.ts
@@ -12,8 +12,8 @@
   readonly nodes: readonly string[];
   readonly slotCount: number;
   readonly siblings: () => readonly Sibling[];
-  /** Most nodes, this one included, cannot reach the state service. */
-  readonly outage: () => boolean;
+  /** Until when workers may be answered without renewals (ms, steady); null: there is no outage. */
+  readonly rideUntil: () => number | null;
   readonly unheard: () => ReadonlyMap<string, string>;
   readonly now: () => number;
 }
@@ -92,7 +92,7 @@
     for (;;) {
       yield* Effect.sleep(CLAIM_TICK_MS);
       const now = this.input.now();
-      this.step({ _tag: 'tick', now, outage: this.input.outage() });
+      this.step({ _tag: 'tick', now, rideUntil: this.input.rideUntil() });
       const lease = this.lease;
       if (!this.mirror.ready || lease === null || !mayAct(this.tenure, now)) continue;
       const claims = new Map<string, SeenClaim>();
--- a/src/claims/tenure.test.ts
+++ b/src/claims/tenure.test.ts
@@ -31,7 +31,7 @@
   {
     name: 'without a renewal nothing is done near the end of the lease',
     from: holding(0),
-    event: { _tag: 'tick', now: 4_800, outage: false },
+    event: { _tag: 'tick', now: 4_800, rideUntil: null },
     to: 'silent',
     actsAt: 4_800,
     acts: false,
@@ -39,21 +39,44 @@
   {
     name: 'a silent node stays silent, however quiet the others are',
     from: { _tag: 'silent', lease: 7 },
-    event: { _tag: 'tick', now: 1, outage: true },
+    event: { _tag: 'tick', now: 1, rideUntil: Number.POSITIVE_INFINITY },
     to: 'silent',
   },
   {
     name: 'an outage for most is ridden out',
     from: holding(0),
-    event: { _tag: 'tick', now: 4_800, outage: true },
+    event: { _tag: 'tick', now: 4_800, rideUntil: Number.POSITIVE_INFINITY },
     to: 'riding',
     actsAt: 5_500,
     acts: true,
   },
+  // Somebody may have told a user of a cancellation that this node doesn't know: the workers' leases must still end in time.
+  {
+    name: 'an outage is ridden out no longer than unknown cancellations allow',
+    from: holding(0),
+    event: { _tag: 'tick', now: 4_800, rideUntil: 5_000 },
+    to: 'riding',
+    actsAt: 5_001,
+    acts: false,
+  },
+  {
+    name: 'riding is cut short when a sibling falls silent and the bound is passed',
+    from: { _tag: 'riding', lease: 7, until: 9_000 },
+    event: { _tag: 'tick', now: 8_000, rideUntil: 7_900 },
+    to: 'silent',
+  },
+  {
+    name: 'the bound on riding takes nothing from a lease that surely lasts',
+    from: holding(0),
+    event: { _tag: 'tick', now: 1_000, rideUntil: -5_000 },
+    to: 'holding',
+    actsAt: 4_600,
+    acts: true,
+  },
   {
     name: 'riding ends soon after the others can reach the state again',
     from: { _tag: 'riding', lease: 7, until: 9_000 },
-    event: { _tag: 'tick', now: 9_001, outage: false },
+    event: { _tag: 'tick', now: 9_001, rideUntil: null },
     to: 'silent',
   },
   {
--- a/src/claims/tenure.ts
+++ b/src/claims/tenure.ts
@@ -18,7 +18,12 @@
   | { readonly _tag: 'granted'; readonly lease: number; readonly sentAt: number }
   | { readonly _tag: 'renewed'; readonly lease: number; readonly sentAt: number }
   | { readonly _tag: 'ended'; readonly lease: number }
-  | { readonly _tag: 'tick'; readonly now: number; readonly outage: boolean };
+  | {
+      readonly _tag: 'tick';
+      readonly now: number;
+      /** Until when workers may be answered in an outage (ms, steady clock; `rideUntil`); null: there is none. */
+      readonly rideUntil: number | null;
+    };
 
 export const deadline = (sentAt: number, ttlMs: number): number =>
   sentAt + ttlMs * (1 - CLOCK_DRIFT) - CLAIM_MARGIN_MS;
@@ -40,12 +45,14 @@
           return tenure;
         case 'holding':
         case 'riding': {
-          if (event.outage) {
+          if (event.rideUntil !== null) {
             // After the outage the lease has its full time again, and siblings' word is at most this old.
-            const until = Math.max(tenure.until, deadline(event.now - BEAT_FRESH_MS, ttlMs));
-            return event.now < tenure.until && tenure._tag === 'holding'
-              ? tenure
-              : { _tag: 'riding', lease: tenure.lease, until };
+            const confirmed = Math.max(tenure.until, deadline(event.now - BEAT_FRESH_MS, ttlMs));
+            const until = Math.min(confirmed, event.rideUntil);
+            if (event.now < tenure.until && tenure._tag === 'holding') return tenure;
+            return event.now < until
+              ? { _tag: 'riding', lease: tenure.lease, until }
+              : { _tag: 'silent', lease: tenure.lease };
           }
           return event.now < tenure.until ? tenure : { _tag: 'silent', lease: tenure.lease };
         }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -58,8 +58,9 @@
 export const STORE_TIMEOUT_MS = 1_500;
 /** ms: wait for a lease renewal: several must fit in one lease. */
 export const RENEW_TIMEOUT_MS = 1_000;
-/** ms: how long one watch stays open. */
-export const WATCH_MS = 20_000;
+/** ms: how long one watch stays open. A copy of the shared keys is as fresh as the question that was answered last, and
+ *  how long a holder may go on in an outage counts from there. */
+export const WATCH_MS = 6_000;
 /** ms: pause after a failed watch or list before the next. */
 export const STORE_RETRY_MS = 300;
 /** Items: page size of lists; the service's own bound is 1,000. */
@@ -266,3 +267,25 @@
 
 /** Final answers kept in memory; the rest are read from the state service. */
 export const FINAL_CACHE = 2_000;
+
+/** What this version understands of what nodes say to each other: 1, it acknowledges cancellations (`/heed`) and tells a
+ *  user of one only once its holder can't fail to act on it. Versions before that say nothing, and count as 0. */
+export const LEVEL = 1;
+/** The level from which a node acknowledges cancellations. */
+export const LEVEL_HEEDS = 1;
+/** ms: between looks whether every node has announced its level; an upgrade takes minutes. */
+export const LEVEL_MS = 2_000;
+/** ms: cancellations that come together are put to their holder in one message; little beside a user's 5 s. */
+export const HEED_BATCH_MS = 20;
+/** Cancellations in one such message, bounded for the body's size. */
+export const HEED_MOST = 400;
+/** ms: between a holder's durable marks, which only stand in for connections that are refused. */
+export const MARK_MS = 500;
+/** ms: taken off the time for which a holder may answer workers without having read the shared keys: siblings' word
+ *  about the state service is up to 2.5 s old, timers fire late, and a command may be under way for a second or two. */
+export const RIDE_MARGIN_MS = 5_000;
+/** ms: so long before `cancel_s` is over a machine on which a cancelled task isn't proven gone is to be returned: one
+ *  transaction, the leader's watch and round, and some calls at the cloud's rate. */
+export const RETURN_RESERVE_MS = 10_000;
+/** ms: between direct requests to the leader to return machines while the state service can't be written. */
+export const RETURN_ASK_MS = 2_000;
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -26,10 +26,13 @@
 
 export interface ApiInput {
   readonly store: Store;
+  readonly fresh: FreshReads;
   readonly mirror: Pick<Mirror, 'get'>;
   readonly catalog: () => Catalog | null;
   readonly zones: readonly string[];
   readonly limits: ReadonlyMap<string, Limit>;
+  /** May users be told of the cancellation that became durable at this revision? */
+  readonly assured: (id: string, team: string, version: number) => Effect.Effect<boolean>;
   /** Task counts for display, from whoever holds the job's share; null: not to be had now. */
   readonly counts: (id: string, team: string) => { done: number; running: number } | null;
   readonly wall: () => number;
@@ -78,10 +81,7 @@
 
 export class UsersApi {
   private readonly finals = new Map<string, FinalRecord>();
-  private readonly fresh: FreshReads;
-  constructor(private readonly input: ApiInput) {
-    this.fresh = new FreshReads(input.store);
-  }
+  constructor(private readonly input: ApiInput) {}
 
   private remember(id: string, final: FinalRecord): void {
     this.finals.set(id, final);
@@ -112,7 +112,7 @@
       if (cached) return { _tag: 'final', final: cached } as const;
       const copy = this.input.mirror.get(jobKey(id));
       if (copy) {
-        const freshness = yield* this.fresh.confirm(copy.key, copy.version);
+        const freshness = yield* this.input.fresh.confirm(copy.key, copy.version);
         if (freshness === 'failed') return { _tag: 'unsure' } as const;
         if (freshness === 'same')
           return { _tag: 'active', record: readJobRecord(copy.value), version: copy.version } as const;
@@ -130,21 +130,31 @@
     });
   }
 
-  private state(id: string, known: Known): Reply {
+  /** What a user is told of a job. Of a cancellation only once the job's holder can't fail to act on it. */
+  private state(id: string, known: Known): Effect.Effect<Reply> {
     switch (known._tag) {
       case 'unsure':
-        return later;
+        return Effect.succeed(later);
       case 'never':
-        return { status: 404, body: { error: `no job ${id}` } };
+        return Effect.succeed({ status: 404, body: { error: `no job ${id}` } });
       case 'final': {
         const done = known.final.state === 'done' ? known.final.tasks : 0;
-        return { status: 200, body: writeStatus(id, known.final.state, { done, running: 0 }) };
+        return Effect.succeed({
+          status: 200,
+          body: writeStatus(id, known.final.state, { done, running: 0 }),
+        });
       }
       case 'active': {
         const { record } = known;
         const counts = this.input.counts(id, record.spec.team) ?? { done: 0, running: 0 };
-        const status: JobStatus = record.cancelled ? 'cancelled' : counts.running > 0 ? 'running' : 'pending';
-        return { status: 200, body: writeStatus(id, status, counts) };
+        if (!record.cancelled) {
+          const status: JobStatus = counts.running > 0 ? 'running' : 'pending';
+          return Effect.succeed({ status: 200, body: writeStatus(id, status, counts) });
+        }
+        const told: Reply = { status: 200, body: writeStatus(id, 'cancelled', counts) };
+        return Effect.map(this.input.assured(id, record.spec.team, known.version), (assured) =>
+          assured ? told : later,
+        );
       }
     }
   }
@@ -159,7 +169,7 @@
       if (!catalog || why !== null) {
         // A repeat of an accepted job is answered as such, whatever its body says.
         const known = yield* this.look(spec.id);
-        if (known._tag === 'active' || known._tag === 'final') return this.state(spec.id, known);
+        if (known._tag === 'active' || known._tag === 'final') return yield* this.state(spec.id, known);
         if (!catalog || known._tag === 'unsure') return later;
         return { status: 422, body: { error: why } };
       }
@@ -172,7 +182,7 @@
           {
             _tag: 'put',
             key: jobKey(spec.id),
-            value: writeJobRecord({ spec, at: this.input.wall(), cancelled: false }),
+            value: writeJobRecord({ spec, at: this.input.wall(), cancelled: false, cancelledAt: null }),
           },
         ],
         'user',
@@ -181,7 +191,7 @@
         case 'committed':
           return { status: 201, body: writeStatus(spec.id, 'pending') };
         case 'conflict':
-          return this.state(spec.id, yield* this.look(spec.id));
+          return yield* this.state(spec.id, yield* this.look(spec.id));
         case 'noLease':
         case 'refused':
         case 'unknown':
@@ -194,13 +204,15 @@
     return Effect.gen({ self: this }, function* () {
       for (let tries = 0; tries < 4; tries += 1) {
         const known = yield* this.look(id);
-        if (known._tag !== 'active' || known.record.cancelled) return this.state(id, known);
+        if (known._tag !== 'active' || known.record.cancelled) return yield* this.state(id, known);
+        const record = { ...known.record, cancelled: true, cancelledAt: this.input.wall() };
         const result = yield* this.input.store.txn(
           [{ key: jobKey(id), version: known.version }],
-          [{ _tag: 'put', key: jobKey(id), value: writeJobRecord({ ...known.record, cancelled: true }) }],
+          [{ _tag: 'put', key: jobKey(id), value: writeJobRecord(record) }],
           'user',
         );
-        if (result._tag === 'committed') return { status: 200, body: writeStatus(id, 'cancelled') };
+        if (result._tag === 'committed')
+          return yield* this.state(id, { _tag: 'active', record, version: result.revision });
         if (result._tag !== 'conflict') return later;
       }
       return later;
@@ -219,6 +231,8 @@
     const wanted = verb === undefined ? 'GET' : 'POST';
     if (call.method !== wanted) return Effect.succeed({ status: 405, headers: { allow: wanted } });
     if (!isJobId(id)) return Effect.succeed({ status: 404, body: { error: `no job ${id.slice(0, 64)}` } });
-    return verb === undefined ? Effect.map(this.look(id), (known) => this.state(id, known)) : this.cancel(id);
+    return verb === undefined
+      ? Effect.flatMap(this.look(id), (known) => this.state(id, known))
+      : this.cancel(id);
   }
 }
--- a/src/jobs/codec.ts
+++ b/src/jobs/codec.ts
@@ -115,15 +115,16 @@
   s: SPEC_FIELDS.map((field) => job.spec[field]),
   t: job.at,
   c: job.cancelled,
+  ...(job.cancelledAt === null ? {} : { x: job.cancelledAt }),
 });
 
 export const readJobRecord = (data: unknown): JobRecord => {
-  const raw = data as { s: unknown[]; t: number; c: boolean };
+  const raw = data as { s: unknown[]; t: number; c: boolean; x?: number };
   const spec: Record<string, unknown> = {};
   SPEC_FIELDS.forEach((field, index) => {
     spec[field] = raw.s[index];
   });
-  return { spec: spec as unknown as JobSpec, at: raw.t, cancelled: raw.c };
+  return { spec: spec as unknown as JobSpec, at: raw.t, cancelled: raw.c, cancelledAt: raw.x ?? null };
 };
 
 export const writeFinalRecord = (final: FinalRecord): unknown => ({
--- a/src/jobs/jobs.test.ts
+++ b/src/jobs/jobs.test.ts
@@ -7,7 +7,7 @@
 import { divideTeams } from '../settings/teams.js';
 import { hopeless, knownTypes } from './api.js';
 import { readJobRecord, readSubmission, writeJobRecord } from './codec.js';
-import type { Catalog, JobSpec } from './model.js';
+import type { Catalog, JobRecord, JobSpec } from './model.js';
 
 const good = {
   uid: 'job-000412',
@@ -62,8 +62,12 @@
   return { ...read.spec, ...over };
 };
 test('a job record comes back as it was', () => {
-  const record = { spec: spec({}), at: 17, cancelled: true };
-  assert.deepEqual(readJobRecord(JSON.parse(JSON.stringify(writeJobRecord(record)))), record);
+  const cases: readonly JobRecord[] = [
+    { spec: spec({}), at: 17, cancelled: false, cancelledAt: null },
+    { spec: spec({}), at: 17, cancelled: true, cancelledAt: 40 },
+  ];
+  for (const record of cases)
+    assert.deepEqual(readJobRecord(JSON.parse(JSON.stringify(writeJobRecord(record)))), record);
 });
 test('a run record comes back as it was, also in a later chunk', () => {
   const record = {
--- a/src/jobs/model.ts
+++ b/src/jobs/model.ts
@@ -33,6 +33,8 @@
   /** ms since the epoch, of the accepting node. */
   readonly at: number;
   readonly cancelled: boolean;
+  /** ms since the epoch, when it was cancelled; null: not, or by a node that did not say. */
+  readonly cancelledAt: number | null;
 }
 
 export type FinalState = 'done' | 'cancelled';
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -17,6 +17,8 @@
 export interface Beat {
   readonly from: string;
   readonly incarnation: string;
+  /** What this node understands (`level.ts`); versions before that don't say. */
+  readonly level?: number;
   readonly lease: number | null;
   /** ms since the state service last answered this node. */
   readonly stateAgeMs: number;
@@ -132,6 +134,28 @@
     return { down, up };
   }
 
+  /** Every sibling says, freshly, that it can't reach the state service. */
+  allDown(): boolean {
+    return this.stateWord().down === this.clients.size;
+  }
+
+  allHeard(): boolean {
+    return [...this.clients.keys()].every((node) => this.fresh(node) !== null);
+  }
+
+  /** What each sibling last announced that it understands; null: it was never heard. */
+  announced(): readonly (number | null)[] {
+    return [...this.clients.keys()].map((node) => {
+      const known = this.known.get(node);
+      return known ? (known.beat.level ?? 0) : null;
+    });
+  }
+
+  /** Does a sibling that is heard understand this much? */
+  understands(node: string, level: number): boolean {
+    return (this.fresh(node)?.level ?? 0) >= level;
+  }
+
   summaries(): readonly Summary[] {
     return [...this.clients.keys()].flatMap((node) => this.fresh(node)?.summaries ?? []);
   }
--- a/src/placement/book.ts
+++ b/src/placement/book.ts
@@ -15,6 +15,8 @@
 
 export interface BookInput {
   readonly now: () => number;
+  /** ms since the epoch. */
+  readonly wall: () => number;
   /** Something changed that a round should look at. */
   readonly poke: () => void;
 }
@@ -25,6 +27,8 @@
   readonly machines = new Map<string, ShareMachine>();
   /** Bindings whose stop is to go out directly. */
   readonly stops = new Set<Binding>();
+  /** Cancellations heard of before their jobs, by the revision at which they became durable. */
+  readonly heeded = new Map<string, number>();
 
   constructor(private readonly input: BookInput) {}
 
@@ -78,6 +82,7 @@
         at: record.at,
         version,
         cancelled: false,
+        cancelledAt: null,
         done: new Set(),
         firstOpen: 0,
         bindings: new Map(),
@@ -93,14 +98,36 @@
       };
       this.jobs.set(record.spec.id, job);
     }
+    // The news of a change may come after a message about a later one.
+    if (version < job.version) return job;
     job.version = version;
-    if (record.cancelled && !job.cancelled) {
-      job.cancelled = true;
-      for (const binding of job.bindings.values()) this.stop(binding, 'cancelled', 0);
+    const heeded = this.heeded.get(job.spec.id);
+    if (record.cancelled || heeded !== undefined) {
+      job.version = Math.max(version, heeded ?? 0);
+      this.heeded.delete(job.spec.id);
+      this.cancel(job, record.cancelledAt);
     }
     return job;
   }
 
+  private cancel(job: ShareJob, at: number | null): void {
+    job.cancelledAt ??= at ?? this.input.wall();
+    if (job.cancelled) return;
+    job.cancelled = true;
+    for (const binding of job.bindings.values()) this.stop(binding, 'cancelled', 0);
+  }
+
+  /** A cancellation that is durable at this revision, told by another node: the shared keys may show it much later. */
+  heed(id: string, version: number): void {
+    const job = this.jobs.get(id);
+    if (!job) {
+      this.heeded.set(id, version);
+      return;
+    }
+    job.version = Math.max(job.version, version);
+    this.cancel(job, null);
+  }
+
   bind(job: ShareJob, index: number, attempt: number, machine: ShareMachine, phase: Phase): Binding {
     const binding: Binding = {
       job: job.spec.id,
--- a/src/placement/dialogue.test.ts
+++ b/src/placement/dialogue.test.ts
@@ -46,7 +46,7 @@
 
 class Story {
   now = 1_000_000;
-  readonly book = new Book({ now: () => this.now, poke: () => undefined });
+  readonly book = new Book({ now: () => this.now, wall: () => this.now, poke: () => undefined });
   readonly custody = new Custody({
     machines: this.book.machines,
     catalog: () => new Map([['g', type]]),
@@ -60,12 +60,13 @@
     now: () => this.now,
     leaseMs: this.custody.leaseMs,
     loaded: () => true,
+    isCancelled: () => false,
     placing: () => true,
     lost: () => false,
     poke: () => undefined,
     direct: () => new Promise(() => undefined),
   });
-  readonly job = this.book.adoptJob({ spec, at: 0, cancelled: false }, 1);
+  readonly job = this.book.adoptJob({ spec, at: 0, cancelled: false, cancelledAt: null }, 1);
   readonly machines: readonly ShareMachine[];
 
   constructor() {
--- a/src/placement/dialogue.ts
+++ b/src/placement/dialogue.ts
@@ -16,6 +16,8 @@
   readonly leaseMs: number;
   /** Reports are read, but say nothing about bindings before the share's runs are loaded. */
   readonly loaded: () => boolean;
+  /** Known without the share's runs, from the jobs' records. */
+  readonly isCancelled: (job: string) => boolean;
   readonly placing: () => boolean;
   readonly lost: () => boolean;
   readonly poke: () => void;
@@ -239,7 +241,7 @@
     const machine = this.input.book.machines.get(report.machine);
     if (!machine || machine.seq !== report.seq || machine.session !== report.session) return null;
     const token = this.token(machine);
-    if (!this.input.loaded()) return { token, commands: [] };
+    if (!this.input.loaded()) return { token, commands: this.stopsOfCancelled(report) };
     const commands = answer(
       machine,
       report,
@@ -258,6 +260,13 @@
     return { token, commands };
   }
 
+  /** The runs can't be read as long as the state service is away; what is cancelled must not go on for that. */
+  private stopsOfCancelled(report: Report): readonly Command[] {
+    return report.tasks
+      .filter((task) => task.state._tag !== 'exited' && this.input.isCancelled(task.job))
+      .map(({ job, index, attempt }) => ({ _tag: 'stop', job, index, attempt, graceS: 0 }));
+  }
+
   /** The state service no longer binds this attempt: a later holder won't start it again. */
   settled(key: string, job: string, index: number): boolean {
     return !(this.input.book.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false);
--- a/src/placement/share.test.ts
+++ b/src/placement/share.test.ts
@@ -30,7 +30,7 @@
 
 test('book: tasks of a gang that is done are not told to stop one by one', () => {
   // They end together and each worker reports so itself: of a gang of 16, 15 commands were sent for nothing.
-  const book = new Book({ now: () => 0, poke: () => undefined });
+  const book = new Book({ now: () => 0, wall: () => 0, poke: () => undefined });
   const tasks = 3;
   const spec = {
     id: 'job-1',
@@ -54,7 +54,7 @@
     saveS: 0,
     deadlineS: null,
   };
-  const job = book.adoptJob({ spec, at: 0, cancelled: false }, 1);
+  const job = book.adoptJob({ spec, at: 0, cancelled: false, cancelledAt: null }, 1);
   const record = {
     share: 0,
     type: 'g',
@@ -77,7 +77,10 @@
   for (const other of others)
     assert.equal(other.stop?.reason, 'finished', 'a worker that missed it hears of it');
   // A gang that broke is still told at once, all of it.
-  const broken = book.adoptJob({ spec: { ...spec, id: 'job-2' }, at: 0, cancelled: false }, 2);
+  const broken = book.adoptJob(
+    { spec: { ...spec, id: 'job-2' }, at: 0, cancelled: false, cancelledAt: null },
+    2,
+  );
   for (let index = 0; index < tasks; index += 1) {
     const machine = book.machines.get(`i-${index}`);
     assert.ok(machine);
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -19,7 +19,7 @@
 import type { Catalog, FinalState, JobSpec } from '../jobs/model.js';
 import { log } from '../log.js';
 import type { Item, Store } from '../store/client.js';
-import { parseRunKey, runsPrefix } from '../store/keys.js';
+import { jobKey, parseRunKey, runsPrefix } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
 import type { DirectResult } from '../workers/line.js';
 import type { Command, Report } from '../workers/model.js';
@@ -100,7 +100,7 @@
     private readonly input: ShareInput,
   ) {
     const poke = (): void => this.poke();
-    this.book = new Book({ now: input.now, poke });
+    this.book = new Book({ now: input.now, wall: input.wall, poke });
     this.custody = new Custody({
       machines: this.book.machines,
       catalog: input.catalog,
@@ -114,6 +114,7 @@
       now: input.now,
       leaseMs: this.custody.leaseMs,
       loaded: () => this.stage !== 'loading',
+      isCancelled: (id) => this.isCancelled(id),
       placing: () => this.stage === 'placing',
       lost: () => this.stage === 'lost',
       poke,
@@ -168,7 +169,22 @@
     this.poke();
   }
 
+  /** Another node is about to tell a user of this cancellation. True: from now on every answer to a worker says so. */
+  heed(id: string, version: number): boolean {
+    if (this.stage === 'lost') return false;
+    this.book.heed(id, version);
+    this.poke();
+    return true;
+  }
+
+  /** Is the job cancelled, as far as the shared keys and what other nodes said go? */
+  private isCancelled(id: string): boolean {
+    const item = this.input.mirror.get(jobKey(id));
+    return this.book.heeded.has(id) || (item !== undefined && readJobRecord(item.value).cancelled);
+  }
+
   onJobGone(id: string): void {
+    this.book.heeded.delete(id);
     const job = this.book.jobs.get(id);
     if (job && !job.finishing) log.error({ event: 'job.record_vanished', job: id });
   }
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -41,6 +41,8 @@
   readonly at: number;
   version: number;
   cancelled: boolean;
+  /** ms since the epoch; null: not cancelled. */
+  cancelledAt: number | null;
   readonly done: Set<number>;
   /** All tasks before this one are done. */
   firstOpen: number;
--- a/src/service.test.ts
+++ b/src/service.test.ts
@@ -1,167 +1,15 @@
 import assert from 'node:assert/strict';
 import { mock, test } from 'node:test';
-import * as Effect from 'effect/Effect';
-import * as Fiber from 'effect/Fiber';
-import type { Answer, Call, Reply } from './http.js';
-import { compose, type Controller } from './service.js';
-import type { Settings } from './settings/schema.js';
+import type { Answer } from './http.js';
+import { CANCEL_MS, Cluster, jobOf, NODES, STEP_MS, tick } from './testing/cluster.js';
 import { Luck, World, type StandInJob } from './testing/world.js';
-import { readReport } from './workers/codec.js';
 
 /** The service's main path, end to end, against our stand-ins: loss, delay, restarts; one seed, virtual time. */
-const NODES = ['n0', 'n1', 'n2'] as const;
-const STEP_MS = 20;
-const CANCEL_MS = 40_000;
 const LIMITS = new Map([
   ['red', 24],
   ['blue', 16],
 ]);
 
-const settingsOf = (name: string, limits: ReadonlyMap<string, number>): Settings => ({
-  host_name: name,
-  area: 'x',
-  api_addr: `${name}:1`,
-  mesh_addr: `${name}:2`,
-  siblings: NODES.filter((node) => node !== name).map((node) => ({
-    host_name: node,
-    area: 'x',
-    endpoint: `mesh-${node}:2`,
-  })),
-  services: { cloud: 'cloud:1', state: 'state:1' },
-  facts: {
-    count: 3,
-    zones: ['x', 'y'],
-    teams: [...limits].map(([team, gpus]) => ({ name: team, cpus: 0, cpus_max: 0, gpus: 8, gpus_max: gpus })),
-    objectives: [],
-    workers: { report_s: 3, lease_s: 15, gang_wait_s: 30, gang_peer_s: 4, cancel_s: CANCEL_MS / 1000 },
-    state: { rps: 300, write_rps: 150, value_kb: 16, txn_ops: 32 },
-    cloud: { rps: 4, list_lag_s: 5 },
-    quota: { core_share: 1, ram_mb: 300, fd_limit: 1000 },
-    clock_error_ms: 10,
-  },
-});
-
-const callOf = (method: string, path: string, body: unknown): Call => ({
-  method,
-  path,
-  query: '',
-  body: body === undefined ? { _tag: 'empty' } : { _tag: 'value', value: body },
-});
-const answerOf = (reply: Reply): Answer => ({ _tag: 'answer', status: reply.status, body: reply.body ?? {} });
-
-class Cluster {
-  private readonly running = new Map<
-    string,
-    { controller: Controller; fiber: Fiber.Fiber<unknown>; alive: { yes: boolean } }
-  >();
-  private incarnation = 0;
-  constructor(private readonly world: World) {}
-
-  up(name: string): void {
-    this.down(name);
-    this.incarnation += 1;
-    const alive = { yes: true };
-    const never = new Promise<never>(() => undefined);
-    const controller = compose(settingsOf(name, this.world.limits), {
-      now: () => Date.now(),
-      wall: () => Date.now(),
-      incarnation: `${name}.${this.incarnation}`,
-      callers: (target) => ({
-        request: (method, path, body, timeoutMs) =>
-          alive.yes
-            ? this.world
-                .call(name, target.host, method, path, body, timeoutMs)
-                .then((answer) => (alive.yes ? answer : never))
-            : never,
-      }),
-      line: {
-        send: async (addr, token, session, commands) => {
-          const calls = commands.map((command) => ({
-            call: command._tag,
-            head: `${command.job}/${command.index}`,
-            try: command.attempt,
-          }));
-          const answer = await this.world.call(
-            name,
-            addr.slice(0, addr.lastIndexOf(':')),
-            'POST',
-            '/commands',
-            { crook: token, stint: session, calls },
-            1_500,
-          );
-          if (answer._tag === 'silence') return { _tag: 'unsure' };
-          const report = readReport(answer.body);
-          return answer.status === 200 && report ? { _tag: 'executed', report } : { _tag: 'refused', report };
-        },
-      },
-    });
-    const fiber = Effect.runFork(controller.run);
-    this.running.set(name, { controller, fiber, alive });
-    this.world.attach(name, async (method, path, body) =>
-      answerOf(await controller.route(callOf(method, path, body))),
-    );
-    this.world.attach(`mesh-${name}`, async (method, path, body) =>
-      answerOf(await controller.mesh(callOf(method, path, body))),
-    );
-  }
-
-  down(name: string): void {
-    const held = this.running.get(name);
-    if (!held) return;
-    held.alive.yes = false;
-    held.controller.stop();
-    Effect.runFork(Fiber.interrupt(held.fiber));
-    this.running.delete(name);
-    this.world.detach(name);
-    this.world.detach(`mesh-${name}`);
-  }
-}
-
-const tick = async (): Promise<void> => {
-  for (let k = 0; k < 6; k += 1) await new Promise((resolve) => setImmediate(resolve));
-};
-
-const jobOf = (n: number, over: Partial<Record<string, unknown>>, runMs: number): StandInJob => {
-  const body: Record<string, unknown> = {
-    uid: `job-${String(n).padStart(6, '0')}`,
-    herd: 'c',
-    owner: 'red',
-    shape: 'sweep',
-    urgency: 'standard',
-    heads: 4,
-    vcpus: 8,
-    accelerators: 1,
-    memoryGb: 8,
-    brand: `img-${n % 3}`,
-    sizeGb: 1,
-    breeds: null,
-    paddock: null,
-    together: false,
-    scatter: false,
-    agistment: false,
-    expectedS: runMs / 1000,
-    musterEveryS: 0,
-    musterS: 0,
-    dueS: null,
-    ...over,
-  };
-  return {
-    body,
-    id: body['uid'] as string,
-    team: body['owner'] as string,
-    gang: body['shape'] === 'group',
-    oneZone: body['together'] as boolean,
-    tasks: body['heads'] as number,
-    gpus: body['accelerators'] as number,
-    cpus: body['vcpus'] as number,
-    memoryGb: body['memoryGb'] as number,
-    runMs,
-    accepted: false,
-    cancelledAt: null,
-    doneTold: false,
-  };
-};
-
 type Trouble = (world: World, cluster: Cluster) => void;
 const days: readonly {
   name: string;
@@ -227,9 +75,9 @@
           [...world.machines.values()]
             .filter((machine) => machine.tasks.size > 0)
             .slice(0, 2)
-            .forEach((machine) => (machine.mute = true)),
+            .forEach((machine) => (machine.deaf = true)),
       ],
-      [140, (world) => world.machines.forEach((machine) => (machine.mute = false))],
+      [140, (world) => world.machines.forEach((machine) => (machine.deaf = false))],
     ],
     most: 3,
   },
--- a/src/service.ts
+++ b/src/service.ts
@@ -2,12 +2,19 @@
 import * as Cause from 'effect/Cause';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
+import { Assurance, readHeed, type Cancellation } from './cancellation/assurance.js';
+import { rideUntil } from './cancellation/evidence.js';
+import { Marks } from './cancellation/mark.js';
 import { LEADER } from './claims/decide.js';
 import { Keeper } from './claims/keeper.js';
 import {
   BEAT_FRESH_MS,
   BEAT_MS,
   BODY_MAX_BYTES,
+  CLOCK_DRIFT,
+  LEVEL,
+  LEVEL_HEEDS,
+  RIDE_MARGIN_MS,
   ANSWER_MAX_BYTES,
   SOCKETS_DIRECT,
   SOCKETS_IN,
@@ -22,6 +29,7 @@
 import { fitsIn, placeAllowed, typeAllowed, type Catalog, type JobSpec } from './jobs/model.js';
 import { log } from './log.js';
 import { Detour } from './mesh/detour.js';
+import { Level } from './mesh/level.js';
 import { Mesh, rateFor } from './mesh/mesh.js';
 import { briefly } from './placement/needs.js';
 import { readObjectives } from './placement/urgency.js';
@@ -30,6 +38,7 @@
 import { divideTeams, nodeNames } from './settings/teams.js';
 import { Store } from './store/client.js';
 import { CATALOG_KEY, claimKey } from './store/keys.js';
+import { FreshReads } from './store/fresh.js';
 import { Mirror } from './store/mirror.js';
 import { Line, type DirectLine } from './workers/line.js';
 import { Desk } from './workers/desk.js';
@@ -77,7 +86,8 @@
     now,
     callers,
   );
-  const mirror = new Mirror(store);
+  const mirror = new Mirror(store, now);
+  const fresh = new FreshReads(store);
   const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now, callers);
 
   let catalogVersion = 0;
@@ -105,6 +115,7 @@
     beat: (to) => ({
       from: me.node,
       incarnation: me.incarnation,
+      level: LEVEL,
       lease: keeper.lease,
       stateAgeMs: stateAge(),
       counts: [...shares].map(([slot, { share }]) => ({ slot, jobs: share.allCounts() })),
@@ -121,12 +132,45 @@
           const held = entitledShare(from);
           return { moved: held ? await held.give(moves) : false };
         }
+        case '/heed':
+          return { heeded: readHeed(body).map(heed) };
         default:
           return null;
       }
     },
   });
 
+  /** Puts a cancellation to a share of ours, if this process holds it under that very claim. */
+  const heed = ({ slot, claim, job, version }: Cancellation): boolean => {
+    const held = shares.get(slot)?.share;
+    return held?.claim === claim && held.heed(job, version);
+  };
+
+  const level = new Level({ store, mirror, announced: () => mesh.announced() });
+
+  const assurance = new Assurance({
+    me: me.node,
+    store,
+    fresh,
+    mirror,
+    heed,
+    ask: (node, path, body) => mesh.ask(node, path, body),
+    summaries: () => mesh.summaries(),
+    understands: (node) =>
+      node === me.node || level.agreed >= LEVEL_HEEDS || mesh.understands(node, LEVEL_HEEDS),
+  });
+
+  const marks = new Marks({
+    store,
+    mirror,
+    held: () =>
+      [...shares.keys()].flatMap((slot) => {
+        const held = entitledShare(slot);
+        return held && held.stage !== 'loading' ? [{ slot, claim: held.claim }] : [];
+      }),
+    allHeard: () => mesh.allHeard(),
+  });
+
   /** Each node's part of the state service's rates follows what the nodes ask for. */
   const shareRates = Effect.forever(
     Effect.andThen(
@@ -158,6 +202,17 @@
     return word.up === 0 && (word.down + 1) * 2 > nodes.length;
   };
 
+  /** The time for which this node may go on answering workers without renewals. */
+  const ride = (): number | null =>
+    rideUntil({
+      confirmed: outage(),
+      nobodyTells: level.agreed >= LEVEL_HEEDS && mesh.allDown(),
+      freshAt: mirror.freshAt,
+      cancelMs: facts.workers.cancel_s * 1000 * (1 - CLOCK_DRIFT),
+      leaseMs: facts.workers.lease_s * 1000 * (1 + CLOCK_DRIFT),
+      marginMs: RIDE_MARGIN_MS,
+    });
+
   /** Shares of ours whose workers all fell silent here while another node hears half of them. */
   const unheard = (): ReadonlyMap<string, string> => {
     const found = new Map<string, string>();
@@ -175,7 +230,7 @@
     nodes,
     slotCount: slots,
     siblings: () => mesh.siblings(),
-    outage,
+    rideUntil: ride,
     unheard,
     now,
   });
@@ -315,7 +370,11 @@
       for (let slot = 0; slot < slots; slot += 1) if (key === claimKey(String(slot))) followClaim(slot);
       return;
     }
-    if (event._tag === 'put' && key.startsWith('w/j/')) noteScarce(readJobRecord(event.item.value).spec);
+    if (event._tag === 'put' && key.startsWith('w/j/')) {
+      const record = readJobRecord(event.item.value);
+      noteScarce(record.spec);
+      if (record.cancelled) marks.saw(shareOfTeam.get(record.spec.team) ?? 0, event.item.version);
+    }
     for (const { share } of shares.values()) {
       if (key.startsWith('w/m/')) {
         if (event._tag === 'put') share.onMachineRecord(event.item);
@@ -329,6 +388,8 @@
 
   const users = new UsersApi({
     store,
+    fresh,
+    assured: (id, team, version) => assurance.assured(shareOfTeam.get(team) ?? 0, id, version),
     mirror,
     catalog,
     zones: facts.zones,
@@ -379,6 +440,8 @@
         supervise('leader', leader.run),
         supervise('detour', detour.run),
         supervise('rates', shareRates),
+        supervise('level', level.run),
+        supervise('marks', marks.run),
       ],
       { concurrency: 'unbounded' },
     ),
--- a/src/store/keys.ts
+++ b/src/store/keys.ts
@@ -5,6 +5,10 @@
 export const jobKey = (id: string): string => `w/j/${id}`;
 export const summaryKey = (slot: number): string => `w/s/${slot}`;
 export const ordersKey = (slot: number): string => `w/o/${slot}`;
+/** A holder's durable word that it has seen the shared keys up to a revision (`cancellation/mark.ts`). */
+export const markKey = (slot: string): string => `w/k/${slot}`;
+/** What every node of this deployment is known to understand (`mesh/level.ts`). */
+export const LEVEL_KEY = 'w/level';
 export const CATALOG_KEY = 'w/catalog';
 export const runsPrefix = (share: number): string => `r/${share}/`;
 export const runKey = (share: number, job: string, chunk: number): string => `r/${share}/${job}/${chunk}`;
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -15,10 +15,15 @@
   private readonly kinds = new Map<string, Map<string, Item>>();
   private readonly listeners: ((event: StoreEvent) => void)[] = [];
   revision = -1;
+  /** ms, steady: every change made before this moment is shown. */
+  freshAt = Number.NEGATIVE_INFINITY;
   /** True once the first full read is in. */
   ready = false;
 
-  constructor(private readonly store: Store) {}
+  constructor(
+    private readonly store: Store,
+    private readonly now: () => number = () => performance.now(),
+  ) {}
 
   onEvent(listener: (event: StoreEvent) => void): void {
     this.listeners.push(listener);
@@ -57,6 +62,7 @@
 
   readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
     for (;;) {
+      const listedAt = this.now();
       const all = yield* this.store.list(SHARED, 'user');
       if (all._tag === 'failed') {
         log.debug({ event: 'mirror.list_failed', why: all.why });
@@ -64,8 +70,10 @@
         continue;
       }
       this.reload(all.items, all.revision);
+      this.freshAt = listedAt;
       log.info({ event: 'mirror.loaded', items: all.items.length, revision: all.revision });
       for (;;) {
+        const askedAt = this.now();
         const result = yield* this.store.watch(SHARED, this.revision);
         if (result._tag === 'tooOld') break;
         if (result._tag === 'failed') {
@@ -74,6 +82,8 @@
         }
         for (const event of result.events) this.apply(event);
         this.revision = Math.max(this.revision, result.revision);
+        // An answer tells all that happened before its question was sent; it may have been under way for long.
+        this.freshAt = askedAt;
         // Each change would otherwise cost every node one more request; together they fit in a few.
         yield* Effect.sleep(this.store.watchGapMs);
       }
--- /dev/null
+++ b/src/testing/cluster.ts
@@ -0,0 +1,165 @@
+import * as Effect from 'effect/Effect';
+import * as Fiber from 'effect/Fiber';
+import type { Answer, Call, Reply } from '../http.js';
+import { compose, type Controller } from '../service.js';
+import type { Settings } from '../settings/schema.js';
+import { readReport } from '../workers/codec.js';
+import type { StandInJob, World } from './world.js';
+
+/** Three composed controllers among the stand-ins, as processes that end and come back. */
+export const NODES = ['n0', 'n1', 'n2'] as const;
+export const STEP_MS = 20;
+export const CANCEL_MS = 40_000;
+export const LEASE_MS = 15_000;
+export const REPORT_MS = 3_000;
+
+export const settingsOf = (name: string, limits: ReadonlyMap<string, number>): Settings => ({
+  host_name: name,
+  area: 'x',
+  api_addr: `${name}:1`,
+  mesh_addr: `${name}:2`,
+  siblings: NODES.filter((node) => node !== name).map((node) => ({
+    host_name: node,
+    area: 'x',
+    endpoint: `mesh-${node}:2`,
+  })),
+  services: { cloud: 'cloud:1', state: 'state:1' },
+  facts: {
+    count: 3,
+    zones: ['x', 'y'],
+    teams: [...limits].map(([team, gpus]) => ({ name: team, cpus: 0, cpus_max: 0, gpus: 8, gpus_max: gpus })),
+    objectives: [],
+    workers: {
+      report_s: REPORT_MS / 1000,
+      lease_s: LEASE_MS / 1000,
+      gang_wait_s: 30,
+      gang_peer_s: 4,
+      cancel_s: CANCEL_MS / 1000,
+    },
+    state: { rps: 300, write_rps: 150, value_kb: 16, txn_ops: 32 },
+    cloud: { rps: 4, list_lag_s: 5 },
+    quota: { core_share: 1, ram_mb: 300, fd_limit: 1000 },
+    clock_error_ms: 10,
+  },
+});
+
+const callOf = (method: string, path: string, body: unknown): Call => ({
+  method,
+  path,
+  query: '',
+  body: body === undefined ? { _tag: 'empty' } : { _tag: 'value', value: body },
+});
+const answerOf = (reply: Reply): Answer => ({ _tag: 'answer', status: reply.status, body: reply.body ?? {} });
+
+export class Cluster {
+  private readonly running = new Map<
+    string,
+    { controller: Controller; fiber: Fiber.Fiber<unknown>; alive: { yes: boolean } }
+  >();
+  private incarnation = 0;
+  constructor(private readonly world: World) {}
+
+  up(name: string): void {
+    this.down(name);
+    this.incarnation += 1;
+    const alive = { yes: true };
+    const never = new Promise<never>(() => undefined);
+    const controller = compose(settingsOf(name, this.world.limits), {
+      now: () => Date.now(),
+      wall: () => Date.now(),
+      incarnation: `${name}.${this.incarnation}`,
+      callers: (target) => ({
+        request: (method, path, body, timeoutMs) =>
+          alive.yes
+            ? this.world
+                .call(name, target.host, method, path, body, timeoutMs)
+                .then((answer) => (alive.yes ? answer : never))
+            : never,
+      }),
+      line: {
+        send: async (addr, token, session, commands) => {
+          const calls = commands.map((command) => ({
+            call: command._tag,
+            head: `${command.job}/${command.index}`,
+            try: command.attempt,
+          }));
+          const answer = await this.world.call(
+            name,
+            addr.slice(0, addr.lastIndexOf(':')),
+            'POST',
+            '/commands',
+            { crook: token, stint: session, calls },
+            1_500,
+          );
+          if (answer._tag === 'silence') return { _tag: 'unsure' };
+          const report = readReport(answer.body);
+          return answer.status === 200 && report ? { _tag: 'executed', report } : { _tag: 'refused', report };
+        },
+      },
+    });
+    const fiber = Effect.runFork(controller.run);
+    this.running.set(name, { controller, fiber, alive });
+    this.world.attach(name, async (method, path, body) =>
+      answerOf(await controller.route(callOf(method, path, body))),
+    );
+    this.world.attach(`mesh-${name}`, async (method, path, body) =>
+      answerOf(await controller.mesh(callOf(method, path, body))),
+    );
+  }
+
+  down(name: string): void {
+    const held = this.running.get(name);
+    if (!held) return;
+    held.alive.yes = false;
+    held.controller.stop();
+    Effect.runFork(Fiber.interrupt(held.fiber));
+    this.running.delete(name);
+    this.world.detach(name);
+    this.world.detach(`mesh-${name}`);
+  }
+}
+
+export const tick = async (): Promise<void> => {
+  for (let k = 0; k < 6; k += 1) await new Promise((resolve) => setImmediate(resolve));
+};
+
+export const jobOf = (n: number, over: Partial<Record<string, unknown>>, runMs: number): StandInJob => {
+  const body: Record<string, unknown> = {
+    uid: `job-${String(n).padStart(6, '0')}`,
+    herd: 'c',
+    owner: 'red',
+    shape: 'sweep',
+    urgency: 'standard',
+    heads: 4,
+    vcpus: 8,
+    accelerators: 1,
+    memoryGb: 8,
+    brand: `img-${n % 3}`,
+    sizeGb: 1,
+    breeds: null,
+    paddock: null,
+    together: false,
+    scatter: false,
+    agistment: false,
+    expectedS: runMs / 1000,
+    musterEveryS: 0,
+    musterS: 0,
+    dueS: null,
+    ...over,
+  };
+  return {
+    body,
+    id: body['uid'] as string,
+    team: body['owner'] as string,
+    gang: body['shape'] === 'group',
+    oneZone: body['together'] as boolean,
+    tasks: body['heads'] as number,
+    gpus: body['accelerators'] as number,
+    cpus: body['vcpus'] as number,
+    memoryGb: body['memoryGb'] as number,
+    runMs,
+    accepted: false,
+    cancelledAt: null,
+    doneTold: false,
+  };
+};
--- /dev/null
+++ b/src/testing/day.ts
@@ -0,0 +1,257 @@
+import { mock } from 'node:test';
+import type { Answer } from '../http.js';
+import { CANCEL_MS, Cluster, jobOf, LEASE_MS, NODES, REPORT_MS, STEP_MS, tick } from './cluster.js';
+import { Luck, World, type StandInJob } from './world.js';
+
+/** A drawn day of users, controllers and troubles, from one seed, with the rules checked as it goes. */
+export interface Day {
+  readonly seed: number;
+  /** s from the begin, and what happens then. */
+  readonly troubles: readonly (readonly [number, (day: Play) => void])[];
+  /** Probability that a message gets lost. */
+  readonly loss?: number;
+  readonly jobs?: number;
+  /** s between submissions. */
+  readonly everyS?: number;
+  /** s that a task runs, at least and at most. */
+  readonly runS?: readonly [number, number];
+  /** Tasks of an array. */
+  readonly tasks?: number;
+}
+
+/** ms: after this without an answer about a job, once troubles are over, it counts as forgotten. */
+const FORGOTTEN_MS = 75_000;
+/** ms: once troubles are over no job waits longer where there is room. */
+const WAITING_MS = 90_000;
+const LIMITS = new Map([
+  ['red', 24],
+  ['blue', 16],
+]);
+
+export class Play {
+  readonly luck: Luck;
+  readonly world: World;
+  readonly cluster: Cluster;
+  readonly jobs: StandInJob[] = [];
+  private readonly answeredAt = new Map<string, number>();
+  private readonly waitingSince = new Map<string, number>();
+  private readonly cancelling = new Set<string>();
+  private calm = Number.POSITIVE_INFINITY;
+  private over = false;
+
+  constructor(private readonly day: Day) {
+    this.luck = new Luck(day.seed);
+    this.world = new World(NODES, new Luck(day.seed + 1_000), LEASE_MS, REPORT_MS, LIMITS, CANCEL_MS);
+    this.world.loss = day.loss ?? 0;
+    this.cluster = new Cluster(this.world);
+  }
+
+  /** The node that holds the share with this number, and so `L` for the one that leads. */
+  holder(slot: string): string {
+    const claim = this.world.state.value(`w/c/${slot}`) as { n: string } | undefined;
+    return claim?.n ?? 'n0';
+  }
+  /** The holder of the share in which most tasks run. */
+  busiest(): string {
+    const count = (slot: string): number => this.world.state.keys(`r/${slot}/`).length;
+    return this.holder(['0', '1', '2'].sort((a, b) => count(b) - count(a))[0] ?? '0');
+  }
+  others(node: string): string[] {
+    return NODES.filter((other) => other !== node);
+  }
+  /** Machines with tasks, the fullest first. */
+  working(): string[] {
+    return [...this.world.machines.values()]
+      .filter((machine) => !machine.dead && machine.tasks.size > 0)
+      .sort((a, b) => b.tasks.size - a.tasks.size)
+      .map((machine) => machine.id);
+  }
+  /** Cuts a node from the state service and the other nodes, not from workers and users; mends with `false`. */
+  isolate(node: string, on: boolean): void {
+    this.world.sever(node, on ? ['state', ...this.others(node).map((other) => `mesh-${other}`)] : []);
+  }
+
+  private ask(method: string, path: string, body?: unknown): Promise<Answer> {
+    return this.world.call('user', NODES[this.luck.below(3)] ?? 'n0', method, path, body, 2_000);
+  }
+  private sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+
+  private noteState(job: StandInJob, answer: Answer): void {
+    if (answer._tag !== 'answer') return;
+    if (answer.status === 404) this.world.broken.push(`forgotten ${job.id}: 404`);
+    if (answer.status === 400 || answer.status === 422)
+      this.world.broken.push(`forgotten ${job.id}: ${answer.status}`);
+    if (answer.status !== 200) return;
+    this.answeredAt.set(job.id, Date.now());
+    const { status } = answer.body as { status: string };
+    if (status === 'done' && !this.world.allDone(job)) this.world.broken.push(`not_done ${job.id}`);
+    if (status === 'withdrawn' && !this.cancelling.has(job.id))
+      this.world.broken.push(`went_back ${job.id} withdrawn unasked`);
+    if (job.cancelledAt !== null && status !== 'withdrawn')
+      this.world.broken.push(`went_back ${job.id} ${status} after withdrawn`);
+    if (job.doneTold && job.cancelledAt === null && status !== 'done')
+      this.world.broken.push(`went_back ${job.id} ${status} after done`);
+    if (status === 'withdrawn') job.cancelledAt ??= Date.now();
+    if (status === 'done' || status === 'withdrawn') job.doneTold = true;
+  }
+
+  /** A user calls the job off, and asks until he is answered. */
+  async cancel(job: StandInJob): Promise<void> {
+    if (this.cancelling.has(job.id)) return;
+    this.cancelling.add(job.id);
+    while (!this.over && !job.doneTold) {
+      this.noteState(job, await this.ask('POST', `/v2/runs/${job.id}/abort`));
+      await this.sleep(1_000);
+    }
+  }
+  /** Calls off so many jobs that run now. */
+  cancelRunning(count: number): void {
+    const running = new Set(
+      [...this.world.machines.values()].flatMap((machine) =>
+        [...machine.tasks.values()].filter((task) => task.state === 'running').map((task) => task.job),
+      ),
+    );
+    for (const job of [...running].filter((job) => !job.doneTold).slice(0, count)) void this.cancel(job);
+  }
+  /** The same for all jobs with a task on one of these machines. */
+  cancelOn(ids: readonly string[]): void {
+    const jobs = new Set(
+      ids.flatMap((id) => [...(this.world.machines.get(id)?.tasks.values() ?? [])].map((task) => task.job)),
+    );
+    for (const job of jobs) void this.cancel(job);
+  }
+
+  private async user(job: StandInJob): Promise<void> {
+    this.world.jobs.set(job.id, job);
+    for (;;) {
+      const answer = await this.ask('POST', '/v2/runs', job.body);
+      if (this.over) return;
+      if (answer._tag === 'answer' && (answer.status === 201 || answer.status === 200)) break;
+      if (answer._tag === 'answer' && answer.status < 500)
+        this.world.broken.push(`refused ${job.id} ${answer.status}`);
+      await this.sleep(1_000);
+    }
+    job.accepted = true;
+    this.answeredAt.set(job.id, Date.now());
+    // One ask more after the end: an answer must not go back.
+    for (let after = 0; after < 2 && !this.over;) {
+      const repeat = this.luck.chance(0.1);
+      const answer = repeat
+        ? await this.ask('POST', '/v2/runs', job.body)
+        : await this.ask('GET', `/v2/runs/${job.id}`);
+      this.noteState(job, answer);
+      if (job.doneTold) after += 1;
+      await this.sleep(2_000);
+    }
+  }
+
+  private draw(n: number): StandInJob {
+    const [least, most] = this.day.runS ?? [8, 30];
+    const runMs = (least + this.luck.below(most - least + 1)) * 1_000;
+    switch (n % 4) {
+      case 1:
+        return jobOf(
+          n,
+          { shape: 'group', heads: 2, accelerators: 8, vcpus: 60, together: true, owner: 'red' },
+          runMs,
+        );
+      case 3:
+        return jobOf(n, { owner: 'blue', heads: this.day.tasks ?? 7, agistment: true }, runMs);
+      case 2:
+        return jobOf(n, { heads: 2 + (n % 2), together: true }, runMs);
+      default:
+        return jobOf(n, { heads: 1 + (n % 5) }, runMs);
+    }
+  }
+
+  /** Room for a waiting job on machines that are up and reached, with its team under its limit. */
+  private hasRoom(job: StandInJob): boolean {
+    const used = (gpus: number, task: { job: StandInJob; state: string }): number =>
+      task.state === 'exited' ? gpus : gpus + task.job.gpus;
+    const machines = [...this.world.machines.values()].filter(
+      (machine) =>
+        !machine.dead && !machine.cut && !machine.hung && (!machine.spot || job.body['agistment'] === true),
+    );
+    const wanted = job.gang ? job.tasks : 1;
+    const team = [...this.world.machines.values()]
+      .flatMap((machine) => [...machine.tasks.values()])
+      .filter((task) => task.job.team === job.team)
+      .reduce(used, 0);
+    if (team + wanted * job.gpus > (LIMITS.get(job.team) ?? 0)) return false;
+    const slots = new Map<string, number>();
+    for (const machine of machines) {
+      const zone = job.oneZone ? machine.zone : '';
+      const free = 8 - [...machine.tasks.values()].reduce(used, 0);
+      slots.set(zone, (slots.get(zone) ?? 0) + Math.floor(free / job.gpus));
+    }
+    return [...slots.values()].some((count) => count >= wanted);
+  }
+
+  private check(): void {
+    const now = Date.now();
+    if (now < this.calm) return;
+    for (const job of this.jobs) {
+      if (!job.accepted || job.doneTold) continue;
+      if (now - Math.max(this.calm, this.answeredAt.get(job.id) ?? 0) > FORGOTTEN_MS)
+        this.world.broken.push(`forgotten ${job.id}: no answer`);
+      const begun = [...this.world.machines.values()].some((machine) =>
+        [...machine.tasks.values()].some((task) => task.job === job),
+      );
+      if (begun || this.cancelling.has(job.id) || this.world.allDone(job) || !this.hasRoom(job)) {
+        this.waitingSince.delete(job.id);
+        continue;
+      }
+      const since = this.waitingSince.get(job.id) ?? now;
+      this.waitingSince.set(job.id, since);
+      if (now - since > WAITING_MS) this.world.broken.push(`waited ${job.id} with room`);
+    }
+  }
+
+  /** Returns the rules that were broken. */
+  async run(): Promise<readonly string[]> {
+    const { day, world, cluster } = this;
+    mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_700_000_000_000 });
+    try {
+      const begin = Date.now();
+      NODES.forEach((node) => cluster.up(node));
+      for (let k = 0; k < 4; k += 1) world.boot(k % 2 === 0 ? 'x' : 'y', false, 100);
+      const count = day.jobs ?? 14;
+      for (let n = 0; n < count; n += 1) {
+        const job = this.draw(n);
+        this.jobs.push(job);
+        setTimeout(() => void this.user(job), 3_000 + n * (day.everyS ?? 4) * 1_000);
+      }
+      const troubles = [...day.troubles].sort((a, b) => a[0] - b[0]);
+      this.calm = begin + (troubles.at(-1)?.[0] ?? 0) * 1_000 + 1_000;
+      const end = begin + 700_000;
+      let nextCheck = begin;
+      let doneAt = 0;
+      while (Date.now() < end && world.broken.length === 0) {
+        mock.timers.tick(STEP_MS);
+        await tick();
+        world.step();
+        while (troubles[0] && Date.now() - begin >= troubles[0][0] * 1_000) troubles.shift()?.[1](this);
+        if (Date.now() >= nextCheck) {
+          nextCheck += 1_000;
+          this.check();
+        }
+        if (troubles.length === 0 && this.jobs.every((job) => job.doneTold)) {
+          if (doneAt === 0) doneAt = Date.now();
+          // What was cancelled must be gone in time, and what was told must stay.
+          if (Date.now() - doneAt > CANCEL_MS + 5_000) break;
+        }
+      }
+      for (const job of this.jobs)
+        if (!job.doneTold && world.broken.length === 0) world.broken.push(`never over: ${job.id}`);
+      return [...new Set(world.broken)];
+    } finally {
+      this.over = true;
+      NODES.forEach((node) => cluster.down(node));
+      mock.timers.reset();
+    }
+  }
+}
+
+export const playDay = (day: Day): Promise<readonly string[]> => new Play(day).run();
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -58,7 +58,7 @@
 /** One share with its machines full but for one in twenty, and a job waiting for every eight machines. */
 const shareOf = (machines: number) => {
   const now = 1_000_000;
-  const book = new Book({ now: () => now, poke: () => undefined });
+  const book = new Book({ now: () => now, wall: () => now, poke: () => undefined });
   const custody = new Custody({
     machines: book.machines,
     catalog: () => catalog,
@@ -70,7 +70,10 @@
   let jobs = 0;
   const add = (gang: boolean) => {
     jobs += 1;
-    return book.adoptJob({ spec: specOf(jobs, gang), at: now - 20_000, cancelled: false }, 1);
+    return book.adoptJob(
+      { spec: specOf(jobs, gang), at: now - 20_000, cancelled: false, cancelledAt: null },
+      1,
+    );
   };
   let job = add(false);
   let next = 0;
--- a/src/testing/world.ts
+++ b/src/testing/world.ts
@@ -52,6 +52,9 @@
     // Once an outage ends, every lease has its full time again.
     if (!on) for (const lease of this.leases.values()) lease.until = Date.now() + lease.ttl;
   }
+  value(key: string): unknown {
+    return this.data.get(key)?.value;
+  }
   keys(prefix: string): string[] {
     return [...this.data.keys()].filter((key) => key.startsWith(prefix)).sort();
   }
@@ -176,7 +179,11 @@
   /** Cut from the controllers: nothing gets in or out. */
   cut = false;
   /** Its reports arrive, but neither answers nor commands reach it. */
+  deaf = false;
+  /** It reaches no controller, while direct commands reach it. */
   mute = false;
+  /** ms: until then it does nothing; what arrives meanwhile waits. */
+  hungUntil = 0;
   readonly tasks = new Map<string, OnMachine>();
   readonly cached = new Set<string>();
   private leaseFrom = Date.now();
@@ -248,15 +255,25 @@
     task.cause = cause;
   }
 
+  get hung(): boolean {
+    return Date.now() < this.hungUntil;
+  }
+  async awake(): Promise<void> {
+    while (this.hung) await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  /** The worker looks at its clock before anything else, also when it resumes. */
+  expire(): void {
+    if (Date.now() - this.leaseFrom <= this.world.leaseMs) return;
+    this.session += 1;
+    this.tasks.clear();
+    this.leaseFrom = Date.now();
+  }
+
   /** Called every step of the clock. */
   step(): void {
     const now = Date.now();
-    if (this.dead) return;
-    if (now - this.leaseFrom > this.world.leaseMs) {
-      this.session += 1;
-      this.tasks.clear();
-      this.leaseFrom = now;
-    }
+    if (this.dead || this.hung) return;
+    this.expire();
     for (const task of this.tasks.values()) {
       if (task.state === 'pulling' && now >= task.readyAt) {
         this.cached.add(task.job.id);
@@ -291,7 +308,11 @@
         this.report(),
         4_000,
       );
+      await this.awake();
+      this.expire();
       if (this.dead) return;
+      // An answer that waited with a hung machine is dropped like any that took too long.
+      if (Date.now() - sentAt > 4_000) continue;
       let pause = this.world.reportMs;
       if (answer._tag === 'answer' && answer.status === 200) {
         const body = answer.body as { crook: number; calls: Record_[] };
@@ -328,6 +349,12 @@
   private created = 0;
   /** Probability that a message, or its answer, gets lost, or is held and delivered late. */
   loss = 0;
+  /** Probability that a transaction with changes gets no answer and is carried out 2 to 12 s later. */
+  lateWrites = 0;
+  /** Probability that a copy of a report comes again, from 2 s to two leases later. */
+  lateReports = 0;
+  /** ms: the state service takes up to this long for an answer. */
+  stateSlowMs = 0;
   /** Probability that a message that was carried out is delivered once more, after one of these times (ms). */
   copies = 0;
   copyAfter: readonly number[] = [1_000];
@@ -366,6 +393,25 @@
       (to.startsWith('mesh-') && (this.severed.get(plain(to))?.others.includes(`mesh-${from}`) ?? false))
     );
   }
+  private readonly holds = new Map<string, { others: readonly string[]; queue: (() => void)[] }>();
+  /** From now on what this end and those say to each other waits; an empty list delivers all of it, in order. */
+  hold(name: string, others: readonly string[]): void {
+    const before = this.holds.get(name);
+    if (others.length > 0) {
+      this.holds.set(name, { others, queue: before?.queue ?? [] });
+      return;
+    }
+    this.holds.delete(name);
+    for (const deliver of before?.queue ?? []) deliver();
+  }
+  private holding(from: string, to: string): (() => void)[] | null {
+    const plain = (end: string): string => end.replace('mesh-', '');
+    const between = (a: string, b: string): (() => void)[] | null => {
+      const hold = this.holds.get(plain(a));
+      return hold?.others.includes(plain(b)) ? hold.queue : null;
+    };
+    return between(from, to) ?? between(to, from);
+  }
   detach(name: string): void {
     this.handlers.delete(name);
   }
@@ -373,12 +419,15 @@
   private deliver(from: string, to: string, method: string, path: string, body: unknown): Promise<Answer> {
     const machine = this.machines.get(to);
     if (machine) {
-      if (machine.dead || machine.cut || machine.mute) return new Promise(() => undefined);
+      if (machine.dead || machine.cut || machine.deaf) return new Promise(() => undefined);
+      if (machine.hung) return machine.awake().then(() => this.deliver(from, to, method, path, body));
+      machine.expire();
       const raw = body as { crook: number; stint: number; calls: Record_[] };
       const ok = raw.stint === machine.session && machine.execute(raw.crook, raw.calls);
       return Promise.resolve(reply(ok ? 200 : 409, machine.report()));
     }
-    if (this.machines.get(from)?.cut) return new Promise(() => undefined);
+    const sender = this.machines.get(from);
+    if (sender?.cut || sender?.mute) return new Promise(() => undefined);
     if (to === 'state') return this.state.handle(from, method, path, body);
     if (to === 'cloud') return Promise.resolve(this.cloud(method, path, body));
     return (
@@ -402,12 +451,29 @@
         const after = this.copyAfter[this.luck.below(this.copyAfter.length)] ?? 1_000;
         setTimeout(() => void this.deliver(from, to, method, path, copy(sent)), after);
       }
+      if (path === '/hello' && this.luck.chance(this.lateReports))
+        setTimeout(
+          () => void this.deliver(from, to, method, path, copy(sent)),
+          2_000 + this.luck.below(2 * this.leaseMs),
+        );
+      if (path === '/txn' && this.luck.chance(this.lateWrites)) {
+        if ((sent as { writes: unknown[] }).writes.length > 0) {
+          setTimeout(() => void this.deliver(from, to, method, path, sent), 2_000 + this.luck.below(10_000));
+          return;
+        }
+      }
+      const held = this.holding(from, to);
+      if (held) {
+        held.push(() => void this.deliver(from, to, method, path, sent));
+        return;
+      }
       const late = this.luck.chance(this.loss);
-      const delay = late ? timeoutMs + this.luck.below(20_000) : 1 + this.luck.below(10);
+      const slow = to === 'state' && !path.startsWith('/follow') ? this.luck.below(this.stateSlowMs + 1) : 0;
+      const delay = slow + (late ? timeoutMs + this.luck.below(20_000) : 1 + this.luck.below(10));
       setTimeout(() => {
         void this.deliver(from, to, method, path, sent).then((answer) => {
           if (path === '/hello' && answer._tag === 'answer' && answer.status === 200) this.checkSilence(to);
-          if (this.luck.chance(this.loss) || this.machines.get(from)?.mute) return;
+          if (this.luck.chance(this.loss) || this.machines.get(from)?.deaf) return;
           setTimeout(() => resolve(copy(answer)), 1 + this.luck.below(10));
         });
       }, delay);
