--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -202,6 +202,18 @@
     });
   }
 
+  /**
+   * Returns machines that their holder asks to be rid of while nothing can be written. Their records go the usual way
+   * later, and are released once more then, which changes nothing. Only who surely leads may say that they are gone.
+   */
+  async returnNow(machines: readonly string[]): Promise<boolean> {
+    if (this.input.entitled() === null || machines.length > RELEASE_MAX) return false;
+    const released = await Effect.runPromise(this.input.cloud.release(machines));
+    log.info({ event: 'machine.returned_at_once', machines, ok: released });
+    if (released) for (const id of machines) this.releasedAt.set(id, this.input.now());
+    return released;
+  }
+
   private release(claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const wanted = [...this.input.mirror.under('w/m/')]
--- a/src/placement/custody.ts
+++ b/src/placement/custody.ts
@@ -12,17 +12,18 @@
   IDLE_RETURN_S,
   LEASE_MARGIN_MS,
   REBUILD_REPORTS,
+  RETURN_RESERVE_MS,
   SPOT_SILENT_REPORTS,
 } from '../constants.js';
 import type { Catalog } from '../jobs/model.js';
-import type { ShareMachine } from './state.js';
+import type { ShareJob, ShareMachine } from './state.js';
 
 /** What may be said of a share's machines from when they reported. Pure but for the clocks handed in, which walks over all
  *  machines read once. */
 export interface CustodyInput {
   readonly machines: ReadonlyMap<string, ShareMachine>;
   readonly catalog: () => Catalog | null;
-  readonly workers: { readonly lease_s: number; readonly report_s: number };
+  readonly workers: { readonly lease_s: number; readonly report_s: number; readonly cancel_s: number };
   readonly now: () => number;
   readonly wall: () => number;
 }
@@ -33,6 +34,8 @@
   readonly deafMs: number;
   readonly rebuildMs: number;
   private readonly spotSilentMs: number;
+  /** ms after a cancellation: a machine on which one of its tasks isn't proven gone by then goes back to the cloud. */
+  readonly returnMs: number;
   /** The full lease, with drift, that this holder must see pass after its last answer. */
   readonly leaseMs: number;
 
@@ -41,6 +44,7 @@
     this.deafMs = reportMs * DEAF_REPORTS;
     this.rebuildMs = reportMs * REBUILD_REPORTS;
     this.spotSilentMs = reportMs * SPOT_SILENT_REPORTS;
+    this.returnMs = input.workers.cancel_s * 1000 - RETURN_RESERVE_MS;
     this.leaseMs = input.workers.lease_s * 1000 * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
   }
 
@@ -107,6 +111,23 @@
     );
   }
 
+  /**
+   * Machines on which a task of a cancelled job is still not proven gone, late enough that only the cloud can end it in
+   * time: one that hangs may come back within its lease, and each new holder would wait for that lease anew.
+   */
+  overdue(jobs: Iterable<ShareJob>): readonly ShareMachine[] {
+    const wall = this.input.wall();
+    const late = new Set<ShareMachine>();
+    for (const job of jobs) {
+      if (job.cancelledAt === null || wall - job.cancelledAt < this.returnMs) continue;
+      for (const binding of job.bindings.values()) {
+        const machine = this.input.machines.get(binding.machine);
+        if (machine) late.add(machine);
+      }
+    }
+    return [...late];
+  }
+
   /** Machines to be released now, each with the reason. Looks at each machine once. */
   toRelease(placing: boolean): readonly { readonly machine: ShareMachine; readonly why: string }[] {
     const now = this.input.now();
--- a/src/placement/dialogue.test.ts
+++ b/src/placement/dialogue.test.ts
@@ -50,7 +50,7 @@
   readonly custody = new Custody({
     machines: this.book.machines,
     catalog: () => new Map([['g', type]]),
-    workers: { lease_s: LEASE_S, report_s: 5 },
+    workers: { lease_s: LEASE_S, report_s: 5, cancel_s: 2 * LEASE_S },
     now: () => this.now,
     wall: () => this.now,
   });
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -9,6 +9,7 @@
   FLUSH_MS,
   PLACE_TICK_MS,
   PLAN_MS,
+  RETURN_ASK_MS,
   ROUND_GAP_MS,
   ROUND_SHARE,
   STORE_RETRY_MS,
@@ -46,7 +47,7 @@
   readonly limits: ReadonlyMap<string, Limit>;
   readonly guarantees: ReadonlyMap<string, Use>;
   readonly objectives: ReadonlyMap<string, Objectives>;
-  readonly workers: { readonly lease_s: number; readonly report_s: number };
+  readonly workers: { readonly lease_s: number; readonly report_s: number; readonly cancel_s: number };
   /** Part of a core that this process may use. */
   readonly coreShare: number;
   /** May this node act for the share now, under this very claim? */
@@ -64,6 +65,8 @@
     session: number,
     commands: readonly Command[],
   ) => Promise<DirectResult>;
+  /** Returns machines to the cloud at once, without a record of it; true: they are gone. */
+  readonly returnNow: (machines: readonly string[]) => Promise<boolean>;
   /** Something changed that the leader or a worker waits for. */
   readonly changed: () => void;
 }
@@ -90,6 +93,7 @@
   private plannedAt = 0;
   private lastSaid = '';
   private evictedAt = 0;
+  private returnAskedAt = Number.NEGATIVE_INFINITY;
   private wake: (() => void) | null = null;
   private poked = false;
   private restUntil = 0;
@@ -357,7 +361,14 @@
       for (const binding of [...machine.bound.values()])
         this.book.apply(binding, { _tag: 'lost', how: { _tag: 'leaseOver' } });
     }
-    const release = this.custody.toRelease(this.stage === 'placing');
+    const overdue = this.custody.overdue(this.book.jobs.values());
+    this.returnNow(overdue.map((machine) => machine.id));
+    const release = [
+      ...overdue
+        .filter((machine) => !machine.releasing)
+        .map((machine) => ({ machine, why: 'cancelled and not gone' })),
+      ...this.custody.toRelease(this.stage === 'placing').filter(({ machine }) => !overdue.includes(machine)),
+    ];
     const raise = [...this.book.machines.values()].filter(
       (machine) => machine.raiseToken && !machine.releasing,
     );
@@ -378,6 +389,22 @@
       );
   }
 
+  /** While the state service can't be written, the leader is asked directly; twice is no harm, nor is too early. */
+  private returnNow(machines: readonly string[]): void {
+    const now = this.input.now();
+    if (machines.length === 0 || now - this.returnAskedAt < RETURN_ASK_MS) return;
+    this.returnAskedAt = now;
+    void this.input.returnNow(machines).then((returned) => {
+      if (this.stage === 'lost' || !returned) return;
+      for (const id of machines) {
+        const machine = this.book.machines.get(id);
+        if (machine) machine.cordoned = true;
+        for (const binding of [...(machine?.bound.values() ?? [])])
+          this.book.apply(binding, { _tag: 'lost', how: { _tag: 'released' } });
+      }
+    });
+  }
+
   /** Free for another share: nothing on it but exits that are settled, which any holder may have forgotten. */
   private movable(machine: ShareMachine): boolean {
     return (
--- a/src/service.ts
+++ b/src/service.ts
@@ -12,8 +12,10 @@
   BEAT_MS,
   BODY_MAX_BYTES,
   CLOCK_DRIFT,
+  CLOUD_TIMEOUT_MS,
   LEVEL,
   LEVEL_HEEDS,
+  RELEASE_MAX,
   RIDE_MARGIN_MS,
   ANSWER_MAX_BYTES,
   SOCKETS_DIRECT,
@@ -132,6 +134,10 @@
           const held = entitledShare(from);
           return { moved: held ? await held.give(moves) : false };
         }
+        case '/return': {
+          const { machines } = body as { machines: readonly string[] };
+          return { returned: await leader.returnNow(machines) };
+        }
         case '/heed':
           return { heeded: readHeed(body).map(heed) };
         default:
@@ -335,6 +341,19 @@
       keeper.entitled(String(slot)) === claim
         ? line.send(addr, token, session, commands)
         : Promise.resolve({ _tag: 'refused', report: null }),
+    returnNow: async (machines) => {
+      const some = machines.slice(0, RELEASE_MAX);
+      if (some.length < machines.length || keeper.entitled(String(slot)) !== claim) return false;
+      // Where the state service answers, the record is the way: it tells a later leader too.
+      if (stateAge() < BEAT_FRESH_MS) return false;
+      const to = leaderNode();
+      if (to === undefined) return false;
+      if (to === me.node) return leader.returnNow(some);
+      const answer = (await mesh.ask(to, '/return', { machines: some }, CLOUD_TIMEOUT_MS)) as {
+        returned?: boolean;
+      } | null;
+      return answer?.returned === true;
+    },
     changed: () => mesh.hurry(),
   });
 
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -62,7 +62,7 @@
   const custody = new Custody({
     machines: book.machines,
     catalog: () => catalog,
-    workers: { lease_s: 24, report_s: 5 },
+    workers: { lease_s: 24, report_s: 5, cancel_s: 45 },
     now: () => now,
     wall: () => now,
   });
