--- a/src/meetings.test.ts
+++ b/src/meetings.test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { playDay, type Day } from './testing/day.js';
+import { playDay, type Day, type Play } from './testing/day.js';
+import { TROUBLES } from './testing/troubles.js';
+import { Luck } from './testing/world.js';
+
+/** A trouble from the list, beginning at this second, drawn from a seed of its own. */
+const at = (start: number, name: keyof typeof TROUBLES, seed: number): Day['troubles'] =>
+  (TROUBLES[name]?.(new Luck(seed)) ?? []).map(([offset, happen]) => [start + offset, happen] as const);
 
 /** Troubles that meet, each brought about against our own stand-ins. */
 const rows: readonly (Day & { readonly name: string })[] = [
@@ -18,6 +24,228 @@
       [98, (day) => day.world.state.outage(false)],
     ] satisfies Day['troubles'],
   })),
+  // 1. Slow state, then refused alone, then out for all: answers about cancellations wait for their holder, nothing is told too early.
+  {
+    name: 'a slow state, then the holder refused, then an outage, while users cancel and ask',
+    seed: 31,
+    jobs: 10,
+    runS: [60, 120],
+    troubles: [
+      ...at(35, 'slowState', 1),
+      [40, (day) => day.cancelRunning(3)],
+      [44, (day) => day.world.state.refused.add(day.busiest())],
+      [44.3, (day) => day.cancelRunning(3)],
+      [45.5, (day) => day.world.state.outage(true)],
+      [97, (day) => day.world.state.outage(false)],
+      [98, (day) => day.world.state.refused.clear()],
+    ],
+  },
+  // 2. A report that a former holder never got arrives at the new one, which has acted: it proves nothing by its silence.
+  {
+    name: 'reports held back until a new holder has acted, then delivered there',
+    seed: 32,
+    runS: [20, 60],
+    troubles: [
+      [35, (day) => day.world.hold('n0', day.working())],
+      [36, (day) => day.cluster.down('n0')],
+      [36.1, (day) => day.cluster.up('n0')],
+      [52, (day) => day.world.hold('n0', [])],
+      [60, (day) => day.world.hold(day.busiest(), day.working().slice(0, 3))],
+      [85, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.world.hold(node, []))],
+    ],
+  },
+  // 3. Each write is conditional on what it changes, so an older one that comes late fails.
+  {
+    name: 'transactions without an answer, carried out after newer ones of the same controller',
+    seed: 33,
+    runS: [10, 40],
+    troubles: [
+      [15, (day) => (day.world.lateWrites = 0.25)],
+      [45, (day) => day.cancelRunning(3)],
+      [60, (day) => day.cluster.down(day.busiest())],
+      [60.1, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.up(node))],
+      [100, (day) => (day.world.lateWrites = 0)],
+    ],
+  },
+  // 4. A direct command that hung with its machine is carried out when that resumes, under the same token and session.
+  {
+    name: 'commands held up with their machines, which then go on',
+    seed: 34,
+    runS: [15, 50],
+    troubles: [10, 20, 30, 42, 54].flatMap((start, k) => [
+      ...at(start, 'hang', k),
+      [start + 1, (day: Play) => day.cancelRunning(1)] as const,
+    ]),
+  },
+  // 6. What is not proven gone counts, cancelled or not, from before the first bind of a takeover.
+  {
+    name: 'teams at their limits, the holder ends, machines can not be asked, and jobs are cancelled',
+    seed: 36,
+    jobs: 18,
+    everyS: 1,
+    tasks: 16,
+    runS: [25, 60],
+    troubles: [
+      ...at(40, 'cut', 3),
+      [40.5, (day) => day.cluster.down(day.busiest())],
+      [41, (day) => day.cancelRunning(3)],
+      [44, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.up(node))],
+      [47, (day) => day.cancelRunning(2)],
+    ],
+  },
+  // 7. Workers begin new sessions and forget their exits; nothing is done twice at once, nothing forgotten.
+  {
+    name: 'all controllers away for longer than a lease',
+    seed: 37,
+    runS: [15, 60],
+    troubles: [
+      [40, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.down(node))],
+      [59, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.up(node))],
+    ],
+  },
+  // 8. Cut from state and siblings a holder is silent when its lease may be over, so its workers let go in time.
+  {
+    name: 'the holder loses the state and its siblings, not its workers; jobs are cancelled through the new one',
+    seed: 38,
+    jobs: 10,
+    runS: [80, 120],
+    troubles: [
+      ...at(40, 'isolated', 2),
+      [41, (day) => day.cancelRunning(4)],
+      [50, (day) => day.cancelRunning(3)],
+    ],
+  },
+  // 9. Direct commands renew no lease: what is bound there is over a lease after the last answer.
+  {
+    name: 'workers that reach no controller while direct commands reach them',
+    seed: 39,
+    runS: [15, 60],
+    troubles: [...at(30, 'mute', 1), ...at(45, 'mute', 7), [50, (day) => day.cancelRunning(2)]],
+  },
+  // 10. The final record and the cancellation are conditional on the same key: one of them comes first, for everybody.
+  {
+    name: 'each job is cancelled at the very end of its last task, or asked about',
+    seed: 40,
+    jobs: 16,
+    runS: [6, 14],
+    cancelAtEnd: 0.6,
+    troubles: [],
+  },
+  // 11. Whatever lives in a holder's memory only (sick, deaf, waited) is lost ten times.
+  {
+    name: 'ten changes of holder in two minutes, an outage among them',
+    seed: 41,
+    runS: [15, 60],
+    troubles: [
+      ...at(20, 'changes', 1),
+      [70, (day) => day.world.state.outage(true)],
+      [88, (day) => day.world.state.outage(false)],
+      [92, (day) => day.cancelRunning(3)],
+    ],
+  },
+  // 12. A new holder knows of bindings only from the records; machines that don't hear it are no proof of anything.
+  {
+    name: 'a holder ends while machines with long tasks are cut off or do not hear',
+    seed: 42,
+    jobs: 8,
+    runS: [70, 110],
+    troubles: [
+      ...at(35, 'deaf', 5),
+      ...at(36, 'cut', 6),
+      [38, (day) => day.cluster.down(day.busiest())],
+      [44, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.up(node))],
+    ],
+  },
+  // 13. A copy from before is heeded neither by the holder that saw newer ones nor by one that saw none.
+  {
+    name: 'old reports after newer ones, from earlier sessions and attempts, across takeovers',
+    seed: 43,
+    runS: [10, 40],
+    troubles: [
+      [10, (day) => (day.world.lateReports = 0.5)],
+      ...at(30, 'cut', 2),
+      [45, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.down(node))],
+      [45.2, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.up(node))],
+      ...at(55, 'roll', 3),
+      [110, (day) => (day.world.lateReports = 0)],
+    ],
+  },
+  // 14. An exit is forgotten on its machine only once its record says so, so a new holder finds one or the other.
+  {
+    name: 'tasks of one job end far apart, with changes of holder between',
+    seed: 44,
+    jobs: 12,
+    runS: [5, 25],
+    apart: true,
+    troubles: [20, 34, 48, 62].flatMap((start, k) => at(start, 'crashBusiest', k)),
+  },
+  // 15. More than there is room for, over links that lose much: nothing is bound twice or waits for ever.
+  {
+    name: 'more work than room over poor links',
+    seed: 45,
+    jobs: 22,
+    everyS: 1,
+    runS: [15, 40],
+    loss: 0.02,
+    troubles: [
+      [10, (day) => (day.world.stateSlowMs = 600)],
+      [90, (day) => (day.world.stateSlowMs = 0)],
+      [91, (day) => (day.world.loss = 0)],
+    ],
+  },
+  // 16. Handed over, handed back, all ended, one back within a second.
+  {
+    name: 'controllers hand over and back, all end, and one returns within a second',
+    seed: 46,
+    runS: [15, 50],
+    troubles: [
+      ...at(25, 'roll', 4),
+      [60, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.down(node))],
+      [60.4, (day) => day.cluster.up('n1')],
+      [70, (day) => day.cluster.up('n0')],
+      [71, (day) => day.cluster.up('n2')],
+      [90, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.down(node))],
+      [90.1, (day) => day.cluster.up('n2')],
+      [108, (day) => ['n0', 'n1'].forEach((node) => day.cluster.up(node))],
+    ],
+  },
+  // 17. Tasks of the old attempt keep their zone until they are proven gone.
+  {
+    name: 'one-zone gangs and arrays lose machines, some for good',
+    seed: 47,
+    jobs: 16,
+    everyS: 2,
+    runS: [20, 50],
+    troubles: [
+      ...at(25, 'cut', 8),
+      ...at(28, 'dies', 1),
+      ...at(45, 'dies', 2),
+      ...at(46, 'hang', 4),
+      ...at(60, 'cut', 5),
+      ...at(61, 'crashBusiest', 6),
+    ],
+  },
+  // 18. Inside the zone the controller falls silent with its claim; what was held back comes when all has changed.
+  {
+    name: 'a zone with workers and a controller is cut off for longer than a lease, its messages come late',
+    seed: 48,
+    runS: [20, 70],
+    troubles: [
+      [
+        35,
+        (day) => {
+          day.world.hold('n1', ['state', 'cloud', 'n0', 'n2', 'user']);
+          for (const node of ['n0', 'n2'])
+            day.world.hold(
+              node,
+              [...day.world.machines.values()].filter((m) => m.zone === 'y').map((m) => m.id),
+            );
+        },
+      ],
+      [42, (day) => day.cancelRunning(4)],
+      [65, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.world.hold(node, []))],
+    ],
+  },
 ];
 
 for (const row of rows)
--- a/src/testing/day.ts
+++ b/src/testing/day.ts
@@ -17,6 +17,10 @@
   readonly runS?: readonly [number, number];
   /** Tasks of an array. */
   readonly tasks?: number;
+  /** Share of the jobs that are called off at the moment when their last task ends. */
+  readonly cancelAtEnd?: number;
+  /** Arrays of two or three tasks, of which the later ones run far longer. */
+  readonly apart?: boolean;
 }
 
 /** ms: after this without an answer about a job, once troubles are over, it counts as forgotten. */
@@ -36,6 +40,7 @@
   private readonly answeredAt = new Map<string, number>();
   private readonly waitingSince = new Map<string, number>();
   private readonly cancelling = new Set<string>();
+  private readonly ended = new Set<string>();
   private calm = Number.POSITIVE_INFINITY;
   private over = false;
 
@@ -150,6 +155,7 @@
   private draw(n: number): StandInJob {
     const [least, most] = this.day.runS ?? [8, 30];
     const runMs = (least + this.luck.below(most - least + 1)) * 1_000;
+    if (this.day.apart === true) return { ...jobOf(n, { heads: 2 + (n % 2) }, runMs), apartMs: 25_000 };
     switch (n % 4) {
       case 1:
         return jobOf(
@@ -189,6 +195,15 @@
     return [...slots.values()].some((count) => count >= wanted);
   }
 
+  /** Users who call a job off at the very moment of its end. */
+  private cancelEnding(): void {
+    for (const job of this.jobs) {
+      if (this.cancelling.has(job.id) || this.ended.has(job.id) || !this.world.allDone(job)) continue;
+      this.ended.add(job.id);
+      if (this.luck.chance(this.day.cancelAtEnd ?? 0)) void this.cancel(job);
+    }
+  }
+
   private check(): void {
     const now = Date.now();
     if (now < this.calm) return;
@@ -232,6 +247,7 @@
         mock.timers.tick(STEP_MS);
         await tick();
         world.step();
+        if (day.cancelAtEnd !== undefined) this.cancelEnding();
         while (troubles[0] && Date.now() - begin >= troubles[0][0] * 1_000) troubles.shift()?.[1](this);
         if (Date.now() >= nextCheck) {
           nextCheck += 1_000;
--- a/src/testing/world.ts
+++ b/src/testing/world.ts
@@ -155,6 +155,8 @@
   readonly cpus: number;
   readonly memoryGb: number;
   readonly runMs: number;
+  /** ms that each task runs longer than the one before. */
+  readonly apartMs?: number;
   accepted: boolean;
   cancelledAt: number | null;
   doneTold: boolean;
@@ -290,7 +292,11 @@
       }
       if (task.state === 'running' && task.job.gang && !this.world.gangComplete(task.job, task.attempt))
         this.exit(task, 'peers');
-      if (task.state === 'running' && task.startedAt !== null && now - task.startedAt >= task.job.runMs) {
+      if (
+        task.state === 'running' &&
+        task.startedAt !== null &&
+        now - task.startedAt >= task.job.runMs + (task.job.apartMs ?? 0) * task.index
+      ) {
         this.world.onDone(task.job, task.index);
       }
     }
