--- a/src/constants.ts
+++ b/src/constants.ts
@@ -268,11 +268,13 @@
 /** Final answers kept in memory; the rest are read from the state service. */
 export const FINAL_CACHE = 2_000;
 
-/** What this version understands of what nodes say to each other: 1, it acknowledges cancellations (`/heed`) and tells a
- *  user of one only once its holder can't fail to act on it. Versions before that say nothing, and count as 0. */
+/** What this version understands of what nodes say to each other: 1, it acknowledges cancellations (`/heed`), tells a user
+ *  of one only once its holder can't fail to act on it, and understands jobs that follow others. Versions before that say nothing, and count as 0. */
 export const LEVEL = 1;
 /** The level from which a node acknowledges cancellations. */
 export const LEVEL_HEEDS = 1;
+/** The level from which a node understands jobs that follow others. */
+export const LEVEL_PIPELINES = 1;
 /** ms: between looks whether every node has announced its level; an upgrade takes minutes. */
 export const LEVEL_MS = 2_000;
 /** ms: cancellations that come together are put to their holder in one message; little beside a user's 5 s. */
@@ -289,3 +291,16 @@
 export const RETURN_RESERVE_MS = 10_000;
 /** ms: between direct requests to the leader to return machines while the state service can't be written. */
 export const RETURN_ASK_MS = 2_000;
+
+/** ms: between the end of one stage of a pipeline and the start of the next: the final record, a round, a bind, the
+ *  command, and a small image. What a deadline at the end leaves to the stages before is counted with it. */
+export const STAGE_EXTRA_MS = 6_000;
+/** ms: between looks for the final records of followed jobs that are over. */
+export const LOOK_MS = 100;
+/** Final records read side by side. */
+export const LOOK_AT_ONCE = 8;
+/** ms: a waiting job's user is answered from this node's copy of the shared keys only if that is this fresh; what the
+ *  copy may not show of a cancellation stays far below `cancel_s`. */
+export const COPY_FRESH_MS = 10_000;
+/** Fraction of the value size that a record's estimated size may take: escapes and longer names have their room. */
+export const VALUE_FILL = 0.85;
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -1,14 +1,16 @@
 import * as Effect from 'effect/Effect';
-import { FINAL_CACHE, GANG_MAX_TASKS, RETRY_AFTER_S } from '../constants.js';
+import { COPY_FRESH_MS, GANG_MAX_TASKS, LOOK_AT_ONCE, RETRY_AFTER_S, VALUE_FILL } from '../constants.js';
 import type { Call, Reply } from '../http.js';
 import { quotaRoom, type Limit } from '../placement/pack.js';
-import type { Store } from '../store/client.js';
-import { FreshReads } from '../store/fresh.js';
-import { finalKey, jobKey } from '../store/keys.js';
+import { packIds, splitIds } from '../pipelines/codec.js';
+import type { Finals } from '../pipelines/finals.js';
+import type { Pipelines } from '../pipelines/pipelines.js';
+import type { Store, Write } from '../store/client.js';
+import type { FreshReads } from '../store/fresh.js';
+import { finalKey, followsKey, jobKey } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
 import {
   isJobId,
-  readFinalRecord,
   readJobRecord,
   readSubmission,
   writeJobRecord,
@@ -33,6 +35,14 @@
   readonly limits: ReadonlyMap<string, Limit>;
   /** May users be told of the cancellation that became durable at this revision? */
   readonly assured: (id: string, team: string, version: number) => Effect.Effect<boolean>;
+  readonly finals: Finals;
+  readonly pipelines: Pick<Pipelines, 'readiness' | 'resolve'>;
+  /** Every node understands jobs that follow others. */
+  readonly takesPipelines: () => boolean;
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
+  /** ms: how long ago this node's copy of the shared keys was surely whole. */
+  readonly copyAgeMs: () => number;
   /** Task counts for display, from whoever holds the job's share; null: not to be had now. */
   readonly counts: (id: string, team: string) => { done: number; running: number } | null;
   readonly wall: () => number;
@@ -67,6 +77,8 @@
     ? spec
     : { ...spec, types: [...new Set(spec.types)].filter((type) => catalog.has(type)) };
 
+const sizeOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
 const later: Reply = {
   status: 503,
   body: { error: 'not able to answer now' },
@@ -80,24 +92,18 @@
   | { readonly _tag: 'unsure' };
 
 export class UsersApi {
-  private readonly finals = new Map<string, FinalRecord>();
   constructor(private readonly input: ApiInput) {}
 
-  private remember(id: string, final: FinalRecord): void {
-    this.finals.set(id, final);
-    if (this.finals.size <= FINAL_CACHE) return;
-    const oldest = this.finals.keys().next().value;
-    if (oldest !== undefined) this.finals.delete(oldest);
-  }
-
   private readFinal(id: string): Effect.Effect<Known> {
-    return Effect.gen({ self: this }, function* () {
-      const final = yield* this.input.store.get(finalKey(id), 'user');
-      if (final._tag === 'failed') return { _tag: 'unsure' } as const;
-      if (final._tag === 'absent') return { _tag: 'never' } as const;
-      const record = readFinalRecord(final.item.value);
-      this.remember(id, record);
-      return { _tag: 'final', final: record } as const;
+    return Effect.map(this.input.finals.read(id), (read): Known => {
+      switch (read._tag) {
+        case 'failed':
+          return { _tag: 'unsure' };
+        case 'absent':
+          return { _tag: 'never' };
+        case 'found':
+          return { _tag: 'final', final: read.final };
+      }
     });
   }
 
@@ -108,7 +114,7 @@
    */
   private look(id: string): Effect.Effect<Known> {
     return Effect.gen({ self: this }, function* () {
-      const cached = this.finals.get(id);
+      const cached = this.input.finals.get(id);
       if (cached) return { _tag: 'final', final: cached } as const;
       const copy = this.input.mirror.get(jobKey(id));
       if (copy) {
@@ -147,6 +153,8 @@
       case 'active': {
         const { record } = known;
         const counts = this.input.counts(id, record.spec.team) ?? { done: 0, running: 0 };
+        if (!record.cancelled && record.follows.length + record.parts > 0 && counts.running === 0)
+          return this.waiting(id, known);
         if (!record.cancelled) {
           const status: JobStatus = counts.running > 0 ? 'running' : 'pending';
           return Effect.succeed({ status: 200, body: writeStatus(id, status, counts) });
@@ -159,6 +167,85 @@
     }
   }
 
+  /** A job that follows others, none of whose tasks runs: is one of those cancelled, so is this one, durably, before it is said. */
+  private waiting(id: string, known: Known & { readonly _tag: 'active' }): Effect.Effect<Reply> {
+    return Effect.gen({ self: this }, function* () {
+      const { record, version } = known;
+      const stands = this.input.pipelines.readiness(id);
+      if (stands._tag === 'waiting') {
+        if (this.input.copyAgeMs() > COPY_FRESH_MS) return later;
+        if (!(yield* this.input.pipelines.resolve(id))) return later;
+      }
+      if (this.input.pipelines.readiness(id)._tag !== 'doomed') {
+        const counts = this.input.counts(id, record.spec.team) ?? { done: 0, running: 0 };
+        return { status: 200, body: writeStatus(id, counts.running > 0 ? 'running' : 'pending', counts) };
+      }
+      return yield* this.callOff(id, record, version);
+    });
+  }
+
+  /** Makes a cancellation durable; what it then says is what is known then. */
+  private callOff(id: string, before: JobRecord, version: number): Effect.Effect<Reply> {
+    return Effect.gen({ self: this }, function* () {
+      const record = { ...before, cancelled: true, cancelledAt: this.input.wall() };
+      const result = yield* this.input.store.txn(
+        [{ key: jobKey(id), version }],
+        [{ _tag: 'put', key: jobKey(id), value: writeJobRecord(record) }],
+        'user',
+      );
+      if (result._tag === 'committed')
+        return yield* this.state(id, { _tag: 'active', record, version: result.revision });
+      return later;
+    });
+  }
+
+  /** Was each of these ever accepted? `unsure`: it can't be said now. */
+  private accepted(ids: readonly string[]): Effect.Effect<'all' | 'unsure' | { readonly never: string }> {
+    return Effect.gen({ self: this }, function* () {
+      // What this node's copy shows was accepted; only of the others it must be read.
+      const others = ids.filter((id) => !this.input.mirror.get(jobKey(id)) && !this.input.finals.get(id));
+      const looks = yield* Effect.forEach(others, (id) => this.look(id), { concurrency: LOOK_AT_ONCE });
+      const never = others.find((_, index) => looks[index]?._tag === 'never');
+      if (never !== undefined) return { never };
+      return looks.some((known) => known._tag === 'unsure') ? 'unsure' : 'all';
+    });
+  }
+
+  /** Why a job that follows these is not taken, or null. A repeat of an accepted job is answered as such. */
+  private refuses(id: string, follows: readonly string[]): Effect.Effect<Reply | null> {
+    return Effect.gen({ self: this }, function* () {
+      const answer = this.input.takesPipelines() ? yield* this.accepted(follows) : 'unsure';
+      if (answer === 'all' && !follows.includes(id)) return null;
+      const known = yield* this.look(id);
+      if (known._tag === 'active' || known._tag === 'final') return yield* this.state(id, known);
+      if (known._tag === 'unsure' || answer === 'unsure') return later;
+      const never = typeof answer === 'object' ? answer.never : id;
+      return { status: 422, body: { error: `never accepted: ${never}` } };
+    });
+  }
+
+  /** The record of a new job and what it takes beside it, or null when they don't fit in one transaction. */
+  private records(spec: JobSpec, follows: readonly string[]): readonly Write[] | null {
+    const plain = {
+      spec,
+      at: this.input.wall(),
+      cancelled: false,
+      cancelledAt: null,
+      follows: [],
+      parts: 0,
+    };
+    const put = (key: string, value: unknown): Write => ({ _tag: 'put', key, value });
+    const room = this.input.valueBytes * VALUE_FILL;
+    const whole = writeJobRecord({ ...plain, follows });
+    if (sizeOf(whole) <= room) return [put(jobKey(spec.id), whole)];
+    const parts = splitIds(follows, room - 64).map((ids, part) =>
+      put(followsKey(spec.id, part), packIds(ids)),
+    );
+    const record = writeJobRecord({ ...plain, parts: parts.length });
+    if (sizeOf(record) > this.input.valueBytes || parts.length + 1 > this.input.store.txnOps) return null;
+    return [...parts, put(jobKey(spec.id), record)];
+  }
+
   private submit(value: unknown): Effect.Effect<Reply> {
     return Effect.gen({ self: this }, function* () {
       const read = readSubmission(value);
@@ -173,18 +260,19 @@
         if (!catalog || known._tag === 'unsure') return later;
         return { status: 422, body: { error: why } };
       }
+      const { follows } = read;
+      if (follows.length > 0) {
+        const refused = yield* this.refuses(spec.id, follows);
+        if (refused !== null) return refused;
+      }
+      const records = this.records(spec, follows);
+      if (records === null) return { status: 422, body: { error: 'too long to be kept' } };
       const result = yield* this.input.store.txn(
         [
           { key: jobKey(spec.id), version: 0 },
           { key: finalKey(spec.id), version: 0 },
         ],
-        [
-          {
-            _tag: 'put',
-            key: jobKey(spec.id),
-            value: writeJobRecord({ spec, at: this.input.wall(), cancelled: false, cancelledAt: null }),
-          },
-        ],
+        records,
         'user',
       );
       switch (result._tag) {
--- a/src/jobs/codec.ts
+++ b/src/jobs/codec.ts
@@ -1,6 +1,7 @@
 import * as Schema from 'effect/Schema';
 import * as Result from 'effect/Result';
 import { TASKS_MAX, TEXT_MAX } from '../constants.js';
+import { packIds, unpackIds } from '../pipelines/codec.js';
 import type { FinalRecord, FinalState, JobKind, JobRecord, JobSpec, Priority } from './model.js';
 
 /** The users' wire words, and the records in the state service. */
@@ -32,6 +33,7 @@
   musterEveryS: Amount,
   musterS: Amount,
   dueS: nullable(Amount),
+  follows: nullable(Schema.Array(Schema.String.check(Schema.isPattern(ID)))),
 });
 
 const decodeSubmission = Schema.decodeUnknownResult(Submission);
@@ -40,7 +42,8 @@
 const PRIORITIES: Record<string, Priority> = { prod: 3, urgent: 2, standard: 1, best_effort: 0 };
 
 export type Submitted =
-  { readonly _tag: 'job'; readonly spec: JobSpec } | { readonly _tag: 'malformed'; readonly why: string };
+  | { readonly _tag: 'job'; readonly spec: JobSpec; readonly follows: readonly string[] }
+  | { readonly _tag: 'malformed'; readonly why: string };
 
 export const readSubmission = (value: unknown): Submitted => {
   const result = decodeSubmission(value);
@@ -50,6 +53,7 @@
   const s = result.success;
   return {
     _tag: 'job',
+    follows: [...new Set(s.follows ?? [])],
     spec: {
       id: s.uid,
       klass: s.herd,
@@ -116,15 +120,31 @@
   t: job.at,
   c: job.cancelled,
   ...(job.cancelledAt === null ? {} : { x: job.cancelledAt }),
+  ...(job.follows.length === 0 ? {} : { f: packIds(job.follows) }),
+  ...(job.parts === 0 ? {} : { p: job.parts }),
 });
 
 export const readJobRecord = (data: unknown): JobRecord => {
-  const raw = data as { s: unknown[]; t: number; c: boolean; x?: number };
+  const raw = data as {
+    s: unknown[];
+    t: number;
+    c: boolean;
+    x?: number;
+    f?: string[];
+    p?: number;
+  };
   const spec: Record<string, unknown> = {};
   SPEC_FIELDS.forEach((field, index) => {
     spec[field] = raw.s[index];
   });
-  return { spec: spec as unknown as JobSpec, at: raw.t, cancelled: raw.c, cancelledAt: raw.x ?? null };
+  return {
+    spec: spec as unknown as JobSpec,
+    at: raw.t,
+    cancelled: raw.c,
+    cancelledAt: raw.x ?? null,
+    follows: unpackIds(raw.f ?? []),
+    parts: raw.p ?? 0,
+  };
 };
 
 export const writeFinalRecord = (final: FinalRecord): unknown => ({
--- a/src/mesh/detour.ts
+++ b/src/mesh/detour.ts
@@ -1,7 +1,6 @@
 import * as Effect from 'effect/Effect';
-import { DETOUR_FRESH_MS, DETOUR_MS } from '../constants.js';
+import { DETOUR_FRESH_MS, DETOUR_MS, VALUE_FILL } from '../constants.js';
 import type { Hold, Move, Summary } from '../fleet/records.js';
-import { encode } from '../http.js';
 import type { Store, StoreEvent } from '../store/client.js';
 import { ordersKey, summaryKey } from '../store/keys.js';
 
@@ -76,13 +75,31 @@
     const leader = this.input.leaderClaim();
     const key = ordersKey(slot);
     if (leader === null || !this.due(key)) return Effect.void;
-    return this.write(key, { leader, moves, holds } satisfies Orders);
+    return this.write(key, this.fittingOrders({ leader, moves, holds }));
+  }
+
+  private tooLong(value: unknown): boolean {
+    return Buffer.byteLength(JSON.stringify(value)) > this.input.valueBytes * VALUE_FILL;
+  }
+
+  /** What doesn't fit comes with the next orders. */
+  private fittingOrders(orders: Orders): Orders {
+    let fit = orders;
+    while (this.tooLong(fit) && fit.moves.length + fit.holds.length > 0) {
+      fit = {
+        ...fit,
+        moves: fit.moves.slice(0, Math.floor(fit.moves.length / 2)),
+        holds: fit.holds.length > 4 ? fit.holds.slice(0, Math.floor(fit.holds.length / 2)) : fit.holds,
+      };
+      if (fit.moves.length === 0 && this.tooLong(fit)) fit = { ...fit, holds: fit.holds.slice(0, -1) };
+    }
+    return fit;
   }
 
   /** Halved until it fits: what comes first matters most. */
   private fitting(summary: Summary): Summary {
     let fit = summary;
-    while (encode(fit).length * 1.5 > this.input.valueBytes && fit.needs.length + fit.spares.length > 0) {
+    while (this.tooLong(fit) && fit.needs.length + fit.spares.length > 0) {
       fit = {
         ...fit,
         needs: fit.needs
--- /dev/null
+++ b/src/pipelines/pipelines.ts
@@ -0,0 +1,129 @@
+import * as Effect from 'effect/Effect';
+import { LOOK_AT_ONCE, LOOK_MS, STAGE_EXTRA_MS } from '../constants.js';
+import type { FinalRecord, JobRecord } from '../jobs/model.js';
+import { log } from '../log.js';
+import { jobKey } from '../store/keys.js';
+import type { Mirror } from '../store/mirror.js';
+import type { Finals } from './finals.js';
+import { PipelineIndex, type Outcome, type Readiness, type Standing } from './graph.js';
+
+export interface PipelinesInput {
+  readonly mirror: Pick<Mirror, 'get'>;
+  readonly finals: Finals;
+  /** Does this node decide about the job: is it to know at once what became of those that it follows? */
+  readonly ours: (team: string) => boolean;
+  /** The readiness or standing of these jobs changed. */
+  readonly changed: (ids: ReadonlySet<string>) => void;
+}
+
+const outcomeOf = (final: FinalRecord): Outcome =>
+  final.state === 'done' ? { _tag: 'done', at: final.at } : { _tag: 'cancelled' };
+
+/**
+ * This node's view of all pipelines, from the shared keys and from final records. That a job is done is taken only
+ * from its durable final record, so nothing that comes late can start a job too early.
+ */
+export class Pipelines {
+  private readonly index = new PipelineIndex(STAGE_EXTRA_MS);
+  /** Jobs that are over, and followed by jobs of ours, whose final records are still to be read. */
+  private readonly toRead = new Set<string>();
+  private readonly teams = new Map<string, string>();
+
+  constructor(private readonly input: PipelinesInput) {}
+
+  readiness(id: string): Readiness {
+    return this.index.readiness(id);
+  }
+  standing(id: string): Standing | null {
+    return this.index.standing(id);
+  }
+
+  private tell(ids: ReadonlySet<string>): void {
+    if (ids.size > 0) this.input.changed(ids);
+  }
+
+  /** A job's record; `follows` is null while parts of the list have not been seen yet. */
+  onJob(id: string, record: JobRecord, follows: readonly string[] | null): void {
+    // One that nobody can see whole yet counts as waiting: it is not in the index.
+    if (follows === null) return;
+    const { spec } = record;
+    if (follows.length > 0) this.teams.set(id, spec.team);
+    this.tell(
+      this.index.put({
+        id,
+        follows,
+        priority: spec.priority,
+        dueAt: spec.deadlineS === null ? null : record.at + spec.deadlineS * 1000,
+        estimateMs: spec.estimateS * 1000,
+        cancelled: record.cancelled,
+      }),
+    );
+    this.look(id);
+  }
+
+  onJobGone(id: string): void {
+    this.teams.delete(id);
+    const needed = [...this.index.dependantsOf(id)];
+    this.tell(this.index.remove(id));
+    for (const dependant of needed) this.look(dependant);
+  }
+
+  /** Looks up what became of the jobs that this one follows, as far as they are over. */
+  private look(id: string): void {
+    const team = this.teams.get(id);
+    if (team === undefined) return;
+    for (const dep of [...this.index.openOf(id)]) {
+      const final = this.input.finals.get(dep);
+      if (final) this.settle(dep, final);
+      else if (!this.index.has(dep) && !this.input.mirror.get(jobKey(dep)) && this.input.ours(team))
+        this.toRead.add(dep);
+    }
+  }
+
+  /** A share of this node's is new: all that its jobs wait for is looked up. */
+  lookAll(): void {
+    for (const id of this.teams.keys()) this.look(id);
+  }
+
+  /** A final record is durable. */
+  settle(id: string, final: FinalRecord): void {
+    this.input.finals.remember(id, final);
+    this.toRead.delete(id);
+    this.tell(this.index.settle(id, outcomeOf(final)));
+  }
+
+  /** Reads what became of the jobs that this one follows, for a user who asks. False: it could not be read. */
+  resolve(id: string): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      // Also those before the ones that still wait themselves: their holders may not have heard yet.
+      const before = new Set([id]);
+      const over: string[] = [];
+      for (const job of before) {
+        for (const dep of this.index.openOf(job)) {
+          if (this.index.has(dep)) before.add(dep);
+          else if (!this.input.mirror.get(jobKey(dep))) over.push(dep);
+        }
+      }
+      const reads = yield* Effect.forEach(over, (dep) => this.read(dep), { concurrency: LOOK_AT_ONCE });
+      return reads.every(Boolean);
+    });
+  }
+
+  private read(id: string): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const read = yield* this.input.finals.read(id);
+      if (read._tag === 'found') this.settle(id, read.final);
+      // Its record was there, or it would not be followed; so its final record is.
+      else if (read._tag === 'absent') log.error({ event: 'pipeline.no_final', job: id });
+      return read._tag !== 'failed';
+    });
+  }
+
+  readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
+    for (;;) {
+      yield* Effect.sleep(LOOK_MS);
+      const ids = [...this.toRead].slice(0, LOOK_AT_ONCE);
+      yield* Effect.forEach(ids, (id) => this.read(id), { concurrency: 'unbounded' });
+    }
+  });
+}
--- a/src/placement/asks.ts
+++ b/src/placement/asks.ts
@@ -146,6 +146,8 @@
   const ahead = new Map<string, Use>();
   for (const job of [...book.jobs.values()].sort((a, b) => a.at - b.at)) {
     const { spec } = job;
+    // What waits for others holds no part of its team's limit or guarantee.
+    if (job.readiness._tag !== 'ready') continue;
     const use = ahead.get(spec.team) ?? { cpus: 0, gpus: 0 };
     const left = spec.tasks - job.done.size;
     use.cpus += spec.cpus * left;
--- a/src/placement/book.ts
+++ b/src/placement/book.ts
@@ -2,6 +2,7 @@
 import type { MachineRecord } from '../fleet/records.js';
 import type { Demand, JobRecord } from '../jobs/model.js';
 import { log } from '../log.js';
+import type { Readiness, Standing } from '../pipelines/graph.js';
 import { chunkOf } from './records.js';
 import {
   bindingKey,
@@ -79,7 +80,14 @@
     if (!job) {
       job = {
         spec: record.spec,
+        own: record.spec,
+        submittedAt: record.at,
         at: record.at,
+        parts: record.parts,
+        readiness:
+          record.follows.length + record.parts > 0
+            ? { _tag: 'waiting' }
+            : { _tag: 'ready', since: record.at },
         version,
         cancelled: false,
         cancelledAt: null,
@@ -117,6 +125,22 @@
     for (const binding of job.bindings.values()) this.stop(binding, 'cancelled', 0);
   }
 
+  /** Where a job stands among those that it follows, and what it is worth for those that need it. */
+  stand(id: string, readiness: Readiness, standing: Standing): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    job.readiness = readiness;
+    if (readiness._tag === 'ready') job.at = Math.max(job.submittedAt, readiness.since);
+    job.spec = {
+      ...job.own,
+      priority: standing.priority,
+      deadlineS: standing.dueAt === null ? null : (standing.dueAt - job.at) / 1000,
+    };
+    // It has no task, and never will.
+    if (readiness._tag === 'doomed') this.cancel(job, null);
+    this.input.poke();
+  }
+
   /** A cancellation that is durable at this revision, told by another node: the shared keys may show it much later. */
   heed(id: string, version: number): void {
     const job = this.jobs.get(id);
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -94,7 +94,7 @@
 
 /**
  * Tasks of this size that the team may still start. A limit of 0 means none: whoever asks for GPUs needs a
- * GPU limit; CPUs are counted where the team has a CPU limit, and always for tasks without GPUs.
+ * GPU limit; CPUs are counted where the team has a CPU limit.
  */
 export const quotaRoom = (
   spec: Pick<JobSpec, 'cpus' | 'gpus'>,
@@ -104,7 +104,7 @@
 ): number => {
   let count = most;
   if (spec.gpus > 0) count = Math.min(count, Math.floor((limit.gpusMax - use.gpus + EPS) / spec.gpus));
-  if (spec.cpus > 0 && (limit.cpusMax > 0 || spec.gpus === 0)) {
+  if (spec.cpus > 0 && limit.cpusMax > 0) {
     count = Math.min(count, Math.floor((limit.cpusMax - use.cpus + EPS) / spec.cpus));
   }
   return Math.max(0, count);
--- a/src/placement/records.ts
+++ b/src/placement/records.ts
@@ -41,17 +41,71 @@
   return indexes;
 };
 
+/** Tasks in a row that an attempt has on one machine. */
+type Row = [index: number, machine: string, attempt: number, count?: number];
+
+/** A run as it is stored: its record, and parts of it where a value can't hold it all. */
+export interface StoredRun {
+  readonly record: unknown;
+  readonly parts: readonly unknown[];
+}
+
+const rowsOf = (record: RunRecord): readonly Row[] => {
+  const rows: Row[] = [];
+  for (const { index, machine, attempt } of record.bindings) {
+    const last = rows.at(-1);
+    if (last && last[1] === machine && last[2] === attempt && last[0] + (last[3] ?? 1) === index)
+      last[3] = (last[3] ?? 1) + 1;
+    else rows.push([index, machine, attempt]);
+  }
+  return rows;
+};
+
+/** Bytes of a run's record beside its bindings: the bit field, the attempt, the number of parts, and braces. */
+const RUN_FRAME = 96;
+
+/**
+ * A run within values of so many bytes. As it always was where that fits, or where a node of an earlier version may
+ * have to read it; else with rows for tasks side by side, and the rest in parts that are written in the same transaction.
+ */
+export const storeRun = (record: RunRecord, chunk: number, bytes: number, maySplit: boolean): StoredRun => {
+  const plain = writeRunRecord(record, chunk) as { d: string; b: Row[]; n: number };
+  if (!maySplit || JSON.stringify(plain).length <= bytes) return { record: plain, parts: [] };
+  const lists: Row[][] = [[]];
+  let size = RUN_FRAME;
+  for (const row of rowsOf(record)) {
+    const more = JSON.stringify(row).length + 1;
+    if (size + more > bytes) {
+      lists.push([]);
+      size = RUN_FRAME;
+    }
+    lists.at(-1)?.push(row);
+    size += more;
+  }
+  const [first, ...rest] = lists;
+  return {
+    record: { d: plain.d, b: first ?? [], n: plain.n, p: rest.length },
+    parts: rest.map((rows) => ({ b: rows })),
+  };
+};
+
+/** How many parts the stored record of a run has. */
+export const partsOf = (data: unknown): number => (data as { p?: number }).p ?? 0;
+
 export const writeRunRecord = (record: RunRecord, chunk: number): unknown => ({
   d: packBits(record.done, firstOf(chunk)),
   b: record.bindings.map((binding) => [binding.index, binding.machine, binding.attempt]),
   n: record.attempt,
 });
 
-export const readRunRecord = (data: unknown, chunk: number): RunRecord => {
-  const raw = data as { d: string; b: [number, string, number][]; n: number };
+export const readRunRecord = (data: unknown, chunk: number, parts: readonly unknown[] = []): RunRecord => {
+  const raw = data as { d: string; b: Row[]; n: number };
+  const rows = [...raw.b, ...parts.flatMap((part) => (part as { b: Row[] }).b)];
   return {
     done: unpackBits(raw.d, firstOf(chunk)),
-    bindings: raw.b.map(([index, machine, attempt]) => ({ index, machine, attempt })),
+    bindings: rows.flatMap(([index, machine, attempt, count]) =>
+      Array.from({ length: count ?? 1 }, (_, k) => ({ index: index + k, machine, attempt })),
+    ),
     attempt: raw.n,
   };
 };
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -17,13 +17,14 @@
 } from '../constants.js';
 import { readMachineRecord, type Hold, type Move, type Summary } from '../fleet/records.js';
 import { readJobRecord } from '../jobs/codec.js';
-import type { Catalog, FinalState, JobSpec } from '../jobs/model.js';
+import type { Catalog, FinalRecord, FinalState, JobSpec } from '../jobs/model.js';
 import { log } from '../log.js';
 import type { Item, Store } from '../store/client.js';
-import { jobKey, parseRunKey, runsPrefix } from '../store/keys.js';
+import { jobKey, parseRunKey, runKey, runPartKey, runsPrefix } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
 import type { DirectResult } from '../workers/line.js';
 import type { Command, Report } from '../workers/model.js';
+import type { Readiness, Standing } from '../pipelines/graph.js';
 import { asksOf, roomsOf, usesOf, type ViewInput } from './asks.js';
 import { Book } from './book.js';
 import { Custody } from './custody.js';
@@ -31,7 +32,7 @@
 import { chooseVictims, type Occupied } from './evict.js';
 import { needsOf, sparesOf, type Waiting } from './needs.js';
 import { packAll, type Limit, type Put, type Room, type Use } from './pack.js';
-import { chunkOf, durableKeys, readRunRecord } from './records.js';
+import { chunkOf, durableKeys, partsOf, readRunRecord } from './records.js';
 import { bindingKey, isFinished, type Binding, type ShareJob, type ShareMachine } from './state.js';
 import { onMachine } from './task.js';
 import type { Objectives } from './urgency.js';
@@ -48,6 +49,10 @@
   readonly guarantees: ReadonlyMap<string, Use>;
   readonly objectives: ReadonlyMap<string, Objectives>;
   readonly workers: { readonly lease_s: number; readonly report_s: number; readonly cancel_s: number };
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
+  /** Every node reads runs that are parted. */
+  readonly maySplit: () => boolean;
   /** Part of a core that this process may use. */
   readonly coreShare: number;
   /** May this node act for the share now, under this very claim? */
@@ -65,6 +70,10 @@
     session: number,
     commands: readonly Command[],
   ) => Promise<DirectResult>;
+  /** A job's final record is durable. */
+  readonly settled: (job: string, final: FinalRecord) => void;
+  readonly readiness: (job: string) => Readiness;
+  readonly standing: (job: string) => Standing | null;
   /** Returns machines to the cloud at once, without a record of it; true: they are gone. */
   readonly returnNow: (machines: readonly string[]) => Promise<boolean>;
   /** Something changed that the leader or a worker waits for. */
@@ -129,6 +138,8 @@
       slot,
       claim,
       wall: input.wall,
+      valueBytes: input.valueBytes,
+      maySplit: input.maySplit,
       lost: () => this.lose(),
       isLost: () => this.stage === 'lost',
     });
@@ -170,9 +181,17 @@
     const record = readJobRecord(item.value);
     if (this.input.shareOfTeam.get(record.spec.team) !== this.slot || this.stage === 'loading') return;
     this.book.adoptJob(record, item.version);
+    this.onStanding(record.spec.id);
     this.poke();
   }
 
+  /** The readiness or standing of a job may have changed. */
+  onStanding(id: string): void {
+    const job = this.book.jobs.get(id);
+    const standing = this.input.standing(id);
+    if (job && standing) this.book.stand(id, this.input.readiness(id), standing);
+  }
+
   /** Another node is about to tell a user of this cancellation. True: from now on every answer to a worker says so. */
   heed(id: string, version: number): boolean {
     if (this.stage === 'lost') return false;
@@ -209,8 +228,10 @@
         const record = readJobRecord(item.value);
         if (this.input.shareOfTeam.get(record.spec.team) === this.slot)
           this.book.adoptJob(record, item.version);
+        this.onStanding(record.spec.id);
       }
-      for (const item of all.items) this.loadRun(item);
+      const parts = new Map(all.items.map((item) => [item.key, item]));
+      for (const item of all.items) this.loadRun(item, parts);
       for (const machine of this.book.machines.values()) {
         machine.free = null;
         for (const task of machine.reported) {
@@ -229,18 +250,30 @@
     }
   });
 
-  private loadRun(item: Item): void {
+  private loadRun(item: Item, items: ReadonlyMap<string, Item>): void {
     const name = parseRunKey(item.key);
     const job = name ? this.book.jobs.get(name.job) : undefined;
     if (!name || !job) {
       this.orphans.push(item.key);
       return;
     }
-    const record = readRunRecord(item.value, name.chunk);
+    // Parts are read with the record that they belong to; one that it doesn't name is left over.
+    if (name.part !== null) {
+      const whole = items.get(runKey(this.slot, name.job, name.chunk));
+      if (!whole || name.part >= partsOf(whole.value)) this.orphans.push(item.key);
+      return;
+    }
+    const count = partsOf(item.value);
+    const parts = Array.from(
+      { length: count },
+      (_, part) => items.get(runPartKey(this.slot, name.job, name.chunk, part))?.value ?? { b: [] },
+    );
+    const record = readRunRecord(item.value, name.chunk, parts);
     job.attempt = Math.max(job.attempt, record.attempt);
     for (const index of record.done) job.done.add(index);
     const chunk = {
       version: item.version,
+      parts: count,
       durable: durableKeys(job.spec.id, record),
       dirtyFrom: null as number | null,
     };
@@ -493,7 +526,10 @@
       size = 0;
       if (sent.length === 0) return;
       void this.writer.finish(sent).then(({ done, orphans }) => {
-        for (const job of done) this.book.jobs.delete(job.spec.id);
+        for (const { job, final } of done) {
+          this.book.jobs.delete(job.spec.id);
+          this.input.settled(job.spec.id, final);
+        }
         this.orphans.push(...orphans);
         this.poke();
       });
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -1,5 +1,6 @@
 import type { Demand, JobSpec } from '../jobs/model.js';
 import type { ReportedTask } from '../workers/model.js';
+import type { Readiness } from '../pipelines/graph.js';
 import type { Phase } from './task.js';
 
 /** Why tasks are being stopped; decides the grace and what happens to the job afterwards. */
@@ -29,16 +30,26 @@
 }
 
 export interface Chunk {
-  /** What the state service holds. */
+  /** What the state service holds, and in how many parts beside the record. */
   version: number;
+  parts: number;
   durable: ReadonlySet<string>;
   /** What is known differs from what the state service holds, since then (ms); null: it does not. */
   dirtyFrom: number | null;
 }
 
 export interface ShareJob {
-  readonly spec: JobSpec;
-  readonly at: number;
+  /** As placement is to treat it: with the priority and the deadline that it has for the jobs that need it. */
+  spec: JobSpec;
+  /** As its user submitted it. */
+  readonly own: JobSpec;
+  /** ms since the epoch. */
+  readonly submittedAt: number;
+  /** ms since the epoch: from when its waiting counts, which is when the last job that it follows was done. */
+  at: number;
+  /** Parts in which the list of jobs that it follows stands, beside its record. */
+  readonly parts: number;
+  readiness: Readiness;
   version: number;
   cancelled: boolean;
   /** ms since the epoch; null: not cancelled. */
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -1,13 +1,13 @@
 import * as Effect from 'effect/Effect';
-import { COMMITS_AT_ONCE, STORE_RETRY_MS, TXN_BYTES } from '../constants.js';
+import { COMMITS_AT_ONCE, STORE_RETRY_MS, TXN_BYTES, VALUE_FILL } from '../constants.js';
 import { writeMachineRecord } from '../fleet/records.js';
 import { writeFinalRecord } from '../jobs/codec.js';
-import type { FinalState } from '../jobs/model.js';
+import type { FinalRecord, FinalState } from '../jobs/model.js';
 import { log } from '../log.js';
 import type { Rank } from '../store/budget.js';
 import type { Condition, Store, TxnResult, Write } from '../store/client.js';
-import { claimKey, finalKey, jobKey, machineKey, runKey } from '../store/keys.js';
-import { durableKeys, runRecord, writeRunRecord, type RunRecord } from './records.js';
+import { claimKey, finalKey, followsKey, jobKey, machineKey, runKey, runPartKey } from '../store/keys.js';
+import { durableKeys, runRecord, storeRun, type RunRecord, type StoredRun } from './records.js';
 import type { Chunk, ShareJob, ShareMachine } from './state.js';
 
 export interface WriterInput {
@@ -15,16 +15,27 @@
   readonly slot: number;
   readonly claim: number;
   readonly wall: () => number;
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
+  /** Every node reads runs that are parted. */
+  readonly maySplit: () => boolean;
   /** Another holder's claim showed up in a condition. */
   readonly lost: () => void;
   readonly isLost: () => boolean;
 }
 
+/** Jobs whose final records are durable, and runs that are left to clear away. */
+export interface Finished {
+  readonly done: readonly { readonly job: ShareJob; readonly final: FinalRecord }[];
+  readonly orphans: readonly string[];
+}
+
 /** One run of a job's tasks, as it is to be written now. */
 export interface RunWrite {
   readonly job: ShareJob;
   readonly chunk: number;
   readonly record: RunRecord;
+  readonly stored: StoredRun;
 }
 
 /** Guess of a run record's size on the wire: a binding is an index, a machine's name and an attempt. */
@@ -115,7 +126,13 @@
   }
 
   runWrite(job: ShareJob, chunk: number): RunWrite {
-    return { job, chunk, record: runRecord(job, chunk) };
+    const record = runRecord(job, chunk);
+    const bytes = this.input.valueBytes * VALUE_FILL;
+    return { job, chunk, record, stored: storeRun(record, chunk, bytes, this.input.maySplit()) };
+  }
+
+  private changesOf(write: RunWrite): number {
+    return 1 + Math.max(write.stored.parts.length, write.job.chunks.get(write.chunk)?.parts ?? 0);
   }
 
   /** Runs in as few transactions as they fit in; each batch is whole. */
@@ -123,15 +140,19 @@
     const batches: T[][] = [];
     let batch: T[] = [];
     let bytes = 0;
+    let changes = 0;
     for (const entry of entries) {
       const size = sizeOf(entry.write.record);
-      if (batch.length > 0 && (batch.length >= this.input.store.batchOps || bytes + size > TXN_BYTES / 2)) {
+      const more = this.changesOf(entry.write);
+      if (batch.length > 0 && (changes + more > this.input.store.batchOps || bytes + size > TXN_BYTES / 2)) {
         batches.push(batch);
         batch = [];
         bytes = 0;
+        changes = 0;
       }
       batch.push(entry);
       bytes += size;
+      changes += more;
     }
     if (batch.length > 0) batches.push(batch);
     return batches;
@@ -149,7 +170,7 @@
         known.dirtyFrom = null;
         return known;
       }
-      const fresh: Chunk = { version: 0, durable: new Set(), dirtyFrom: null };
+      const fresh: Chunk = { version: 0, parts: 0, durable: new Set(), dirtyFrom: null };
       write.job.chunks.set(write.chunk, fresh);
       return fresh;
     });
@@ -159,11 +180,7 @@
         ...[...jobs].map((job) => ({ key: jobKey(job.spec.id), version: job.version })),
         ...writes.map((write, index) => ({ key: key(write), version: chunks[index]?.version ?? 0 })),
       ],
-      writes.map((write) => ({
-        _tag: 'put',
-        key: key(write),
-        value: writeRunRecord(write.record, write.chunk),
-      })),
+      writes.flatMap((write, index) => this.changes(write, chunks[index]?.parts ?? 0)),
       key(first),
       rank,
     );
@@ -174,6 +191,7 @@
       if (!chunk) return;
       if (committed) {
         chunk.version = result.revision;
+        chunk.parts = write.stored.parts.length;
         chunk.durable = durableKeys(write.job.spec.id, write.record);
       } else chunk.dirtyFrom ??= 0;
     });
@@ -181,33 +199,56 @@
     return committed;
   }
 
+  /** A run's record with its parts, and parts of the last one that are no more. All change together, so the record's
+   *  revision guards them. */
+  private changes(write: RunWrite, before: number): readonly Write[] {
+    const { job, chunk, stored } = write;
+    const partKey = (part: number): string => runPartKey(this.input.slot, job.spec.id, chunk, part);
+    return [
+      { _tag: 'put', key: runKey(this.input.slot, job.spec.id, chunk), value: stored.record },
+      ...stored.parts.map((value, part): Write => ({ _tag: 'put', key: partKey(part), value })),
+      ...Array.from({ length: Math.max(0, before - stored.parts.length) }, (_, k): Write => ({
+        _tag: 'delete',
+        key: partKey(stored.parts.length + k),
+      })),
+    ];
+  }
+
   /** How many changes the final record of a job takes, with all its runs. */
   finalSize(job: ShareJob): number {
-    return 2 + job.chunks.size;
+    let parts = job.parts;
+    for (const chunk of job.chunks.values()) parts += 1 + chunk.parts;
+    return 2 + parts;
   }
 
   /** Final records of jobs in one transaction. Returns those that are durable, with runs left to clear away. */
-  async finish(
-    jobs: readonly { readonly job: ShareJob; readonly state: FinalState }[],
-  ): Promise<{ readonly done: readonly ShareJob[]; readonly orphans: readonly string[] }> {
+  async finish(jobs: readonly { readonly job: ShareJob; readonly state: FinalState }[]): Promise<Finished> {
     const first = jobs[0];
     if (!first) return { done: [], orphans: [] };
     const orphans: string[] = [];
     const writes: Write[] = [];
-    for (const { job, state } of jobs) {
+    const finals = jobs.map(({ job, state }) => ({
+      job,
+      final: { state, at: this.input.wall(), tasks: job.spec.tasks },
+    }));
+    for (const { job, final } of finals) {
       job.finishing = true;
       writes.push(
-        {
-          _tag: 'put',
-          key: finalKey(job.spec.id),
-          value: writeFinalRecord({ state, at: this.input.wall(), tasks: job.spec.tasks }),
-        },
+        { _tag: 'put', key: finalKey(job.spec.id), value: writeFinalRecord(final) },
         { _tag: 'delete', key: jobKey(job.spec.id) },
       );
     }
     for (const { job } of jobs) {
-      for (const chunk of job.chunks.keys()) {
-        const key = runKey(this.input.slot, job.spec.id, chunk);
+      const keys = [
+        ...[...job.chunks].flatMap(([number, chunk]) => [
+          runKey(this.input.slot, job.spec.id, number),
+          ...Array.from({ length: chunk.parts }, (_, part) =>
+            runPartKey(this.input.slot, job.spec.id, number, part),
+          ),
+        ]),
+        ...Array.from({ length: job.parts }, (_, part) => followsKey(job.spec.id, part)),
+      ];
+      for (const key of keys) {
         if (writes.length < this.input.store.txnOps) writes.push({ _tag: 'delete', key });
         else orphans.push(key);
       }
@@ -236,7 +277,7 @@
     }
     for (const { job, state } of jobs)
       log.info({ event: 'job.final', job: job.spec.id, state, ageMs: this.input.wall() - job.at });
-    return { done: jobs.map(({ job }) => job), orphans };
+    return { done: finals, orphans };
   }
 
   /** Machine records in one transaction. From its start nothing is placed on them, also while the end is open. */
--- a/src/service.ts
+++ b/src/service.ts
@@ -15,6 +15,7 @@
   CLOUD_TIMEOUT_MS,
   LEVEL,
   LEVEL_HEEDS,
+  LEVEL_PIPELINES,
   RELEASE_MAX,
   RIDE_MARGIN_MS,
   ANSWER_MAX_BYTES,
@@ -28,18 +29,29 @@
 import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
 import { UsersApi } from './jobs/api.js';
 import { readJobRecord } from './jobs/codec.js';
-import { fitsIn, placeAllowed, typeAllowed, type Catalog, type JobSpec } from './jobs/model.js';
+import {
+  fitsIn,
+  placeAllowed,
+  typeAllowed,
+  type Catalog,
+  type JobRecord,
+  type JobSpec,
+} from './jobs/model.js';
 import { log } from './log.js';
 import { Detour } from './mesh/detour.js';
 import { Level } from './mesh/level.js';
 import { Mesh, rateFor } from './mesh/mesh.js';
+import { unpackIds } from './pipelines/codec.js';
+import { Finals } from './pipelines/finals.js';
+import { Pipelines } from './pipelines/pipelines.js';
 import { briefly } from './placement/needs.js';
 import { readObjectives } from './placement/urgency.js';
 import { Share, type ShareInput } from './placement/share.js';
 import type { Settings } from './settings/schema.js';
+import { lasting } from './settings/limits.js';
 import { divideTeams, nodeNames } from './settings/teams.js';
 import { Store } from './store/client.js';
-import { CATALOG_KEY, claimKey } from './store/keys.js';
+import { CATALOG_KEY, claimKey, followsKey, jobKey } from './store/keys.js';
 import { FreshReads } from './store/fresh.js';
 import { Mirror } from './store/mirror.js';
 import { Line, type DirectLine } from './workers/line.js';
@@ -82,14 +94,17 @@
 
   const objectives = readObjectives(facts.objectives);
 
+  const stateLimits = lasting(facts.state);
+  const valueBytes = stateLimits.value_kb * 1024;
   const store = new Store(
     parseTarget(settings.services.state),
-    { ...facts.state, nodes: nodes.length },
+    { ...stateLimits, nodes: nodes.length },
     now,
     callers,
   );
   const mirror = new Mirror(store, now);
   const fresh = new FreshReads(store);
+  const finals = new Finals(store);
   const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now, callers);
 
   let catalogVersion = 0;
@@ -281,7 +296,7 @@
 
   const detour: Detour = new Detour({
     store,
-    valueBytes: facts.state.value_kb * 1024,
+    valueBytes,
     now,
     leaderClaim: () => keeper.claim(LEADER)?.version ?? null,
     cutOff: () => {
@@ -322,6 +337,8 @@
     guarantees,
     objectives,
     workers: facts.workers,
+    valueBytes,
+    maySplit: () => level.agreed >= LEVEL_PIPELINES,
     coreShare: facts.quota.core_share,
     holds: () => holdsFor(slot),
     entitled: () => keeper.entitled(String(slot)) === claim,
@@ -354,6 +371,9 @@
       } | null;
       return answer?.returned === true;
     },
+    settled: (job, final) => pipelines.settle(job, final),
+    readiness: (job) => pipelines.readiness(job),
+    standing: (job) => pipelines.standing(job),
     changed: () => mesh.hurry(),
   });
 
@@ -369,9 +389,27 @@
     if (claim === null) return;
     const share = new Share(slot, claim, shareInput(slot, claim));
     shares.set(slot, { share, fiber: Effect.runFork(supervise(`share.${slot}`, share.run)) });
+    pipelines.lookAll();
     log.info({ event: 'share.taken', share: slot, claim });
   };
 
+  const pipelines = new Pipelines({
+    mirror,
+    finals,
+    ours: (team) => shares.has(shareOfTeam.get(team) ?? 0),
+    changed: (ids) => {
+      for (const id of ids) for (const { share } of shares.values()) share.onStanding(id);
+    },
+  });
+  /** The jobs that one follows; null: not all parts of the list are there yet. */
+  const followsOf = (record: JobRecord): readonly string[] | null => {
+    const parts = Array.from({ length: record.parts }, (_, part) =>
+      mirror.get(followsKey(record.spec.id, part)),
+    );
+    if (parts.some((part) => part === undefined)) return null;
+    return [...record.follows, ...parts.flatMap((part) => unpackIds(part?.value as string[]))];
+  };
+
   /** Types without an alternative for some job seen since this process began. */
   const scarceTypes = new Set<string>();
   const noteScarce = (spec: JobSpec): void => {
@@ -392,8 +430,17 @@
     if (event._tag === 'put' && key.startsWith('w/j/')) {
       const record = readJobRecord(event.item.value);
       noteScarce(record.spec);
+      pipelines.onJob(id, record, followsOf(record));
       if (record.cancelled) marks.saw(shareOfTeam.get(record.spec.team) ?? 0, event.item.version);
     }
+    // A part may be seen after the record that it belongs to.
+    if (event._tag === 'put' && key.startsWith('w/d/')) {
+      const item = mirror.get(jobKey(id.slice(0, id.indexOf('/'))));
+      if (item) {
+        const record = readJobRecord(item.value);
+        pipelines.onJob(record.spec.id, record, followsOf(record));
+      }
+    }
     for (const { share } of shares.values()) {
       if (key.startsWith('w/m/')) {
         if (event._tag === 'put') share.onMachineRecord(event.item);
@@ -403,11 +450,17 @@
         else share.onJobGone(id);
       }
     }
+    if (event._tag === 'delete' && key.startsWith('w/j/')) pipelines.onJobGone(id);
   });
 
   const users = new UsersApi({
     store,
     fresh,
+    finals,
+    pipelines,
+    takesPipelines: () => level.agreed >= LEVEL_PIPELINES,
+    valueBytes,
+    copyAgeMs: () => now() - mirror.freshAt,
     assured: (id, team, version) => assurance.assured(shareOfTeam.get(team) ?? 0, id, version),
     mirror,
     catalog,
@@ -460,6 +513,7 @@
         supervise('detour', detour.run),
         supervise('rates', shareRates),
         supervise('level', level.run),
+        supervise('pipelines', pipelines.run),
         supervise('marks', marks.run),
       ],
       { concurrency: 'unbounded' },
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -35,7 +35,23 @@
       gang_peer_s: Positive,
       cancel_s: Positive,
     }),
-    state: Schema.Struct({ rps: Positive, write_rps: Positive, value_kb: Positive, txn_ops: Count }),
+    state: Schema.Struct({
+      rps: Positive,
+      write_rps: Positive,
+      value_kb: Positive,
+      txn_ops: Count,
+      // What will hold from some moment on, without notice.
+      next: Schema.optional(
+        Schema.NullOr(
+          Schema.Struct({
+            rps: Schema.optional(Positive),
+            write_rps: Schema.optional(Positive),
+            value_kb: Schema.optional(Positive),
+            txn_ops: Schema.optional(Count),
+          }),
+        ),
+      ),
+    }),
     cloud: Schema.Struct({ rps: Positive, list_lag_s: Amount }),
     quota: Schema.Struct({ core_share: Positive, ram_mb: Positive, fd_limit: Count }),
     clock_error_ms: Amount,
--- a/src/store/keys.ts
+++ b/src/store/keys.ts
@@ -3,6 +3,8 @@
 export const claimKey = (slot: string): string => `w/c/${slot}`;
 export const machineKey = (id: string): string => `w/m/${id}`;
 export const jobKey = (id: string): string => `w/j/${id}`;
+/** A part of the list of jobs that a job follows, where the list is too long for its record. */
+export const followsKey = (id: string, part: number): string => `w/d/${id}/${part}`;
 export const summaryKey = (slot: number): string => `w/s/${slot}`;
 export const ordersKey = (slot: number): string => `w/o/${slot}`;
 /** A holder's durable word that it has seen the shared keys up to a revision (`cancellation/mark.ts`). */
@@ -12,10 +14,18 @@
 export const CATALOG_KEY = 'w/catalog';
 export const runsPrefix = (share: number): string => `r/${share}/`;
 export const runKey = (share: number, job: string, chunk: number): string => `r/${share}/${job}/${chunk}`;
+/** A part of a run whose record is too long for one value. */
+export const runPartKey = (share: number, job: string, chunk: number, part: number): string =>
+  `${runKey(share, job, chunk)}+${part}`;
 export const finalKey = (id: string): string => `f/${id}`;
 
-export const parseRunKey = (key: string): { job: string; chunk: number } | null => {
-  const parts = key.split('/');
-  const chunk = Number(parts[3]);
-  return parts.length === 4 && parts[2] && Number.isInteger(chunk) ? { job: parts[2], chunk } : null;
+/** `part` is null for the record itself. */
+export const parseRunKey = (key: string): { job: string; chunk: number; part: number | null } | null => {
+  const found = /^r\/\d+\/([^/]+)\/(\d+)(?:\+(\d+))?$/.exec(key);
+  if (!found?.[1]) return null;
+  return {
+    job: found[1],
+    chunk: Number(found[2]),
+    part: found[3] === undefined ? null : Number(found[3]),
+  };
 };
--- a/src/testing/day.ts
+++ b/src/testing/day.ts
@@ -21,6 +21,8 @@
   readonly cancelAtEnd?: number;
   /** Arrays of two or three tasks, of which the later ones run far longer. */
   readonly apart?: boolean;
+  /** Pipelines of five jobs each, across teams; some of their last jobs come when the others are over. */
+  readonly pipelines?: number;
 }
 
 /** ms: after this without an answer about a job, once troubles are over, it counts as forgotten. */
@@ -83,6 +85,20 @@
     return new Promise((resolve) => setTimeout(resolve, ms));
   }
 
+  /** All jobs that this one needs, directly or through others. */
+  private before(job: StandInJob): readonly StandInJob[] {
+    const found = new Set<StandInJob>();
+    const add = (other: StandInJob): void => {
+      for (const dep of other.follows ?? []) {
+        if (found.has(dep)) continue;
+        found.add(dep);
+        add(dep);
+      }
+    };
+    add(job);
+    return [...found];
+  }
+
   private noteState(job: StandInJob, answer: Answer): void {
     if (answer._tag !== 'answer') return;
     if (answer.status === 404) this.world.broken.push(`forgotten ${job.id}: 404`);
@@ -92,12 +108,18 @@
     this.answeredAt.set(job.id, Date.now());
     const { status } = answer.body as { status: string };
     if (status === 'done' && !this.world.allDone(job)) this.world.broken.push(`not_done ${job.id}`);
-    if (status === 'withdrawn' && !this.cancelling.has(job.id))
+    const before = this.before(job);
+    if (status === 'withdrawn' && ![job, ...before].some((other) => this.cancelling.has(other.id)))
       this.world.broken.push(`went_back ${job.id} withdrawn unasked`);
     if (job.cancelledAt !== null && status !== 'withdrawn')
       this.world.broken.push(`went_back ${job.id} ${status} after withdrawn`);
     if (job.doneTold && job.cancelledAt === null && status !== 'done')
       this.world.broken.push(`went_back ${job.id} ${status} after done`);
+    if (status === 'pending' || status === 'running') {
+      const told = before.flatMap((other) => other.cancelledAt ?? []);
+      if (told.some((since) => Date.now() - since > CANCEL_MS))
+        this.world.broken.push(`orphaned ${job.id} ${status}`);
+    }
     if (status === 'withdrawn') job.cancelledAt ??= Date.now();
     if (status === 'done' || status === 'withdrawn') job.doneTold = true;
   }
@@ -120,6 +142,16 @@
     );
     for (const job of [...running].filter((job) => !job.doneTold).slice(0, count)) void this.cancel(job);
   }
+  /** Calls off one job, not the last, of so many pipelines. */
+  cancelPipelines(count: number): void {
+    const open = this.jobs.filter(
+      (job) => job.accepted && !job.doneTold && this.jobs.some((other) => other.follows?.includes(job)),
+    );
+    for (let k = 0; k < count && open.length > 0; k += 1) {
+      const [job] = open.splice(this.luck.below(open.length), 1);
+      if (job) void this.cancel(job);
+    }
+  }
   /** The same for all jobs with a task on one of these machines. */
   cancelOn(ids: readonly string[]): void {
     const jobs = new Set(
@@ -128,8 +160,10 @@
     for (const job of jobs) void this.cancel(job);
   }
 
-  private async user(job: StandInJob): Promise<void> {
+  private async user(job: StandInJob, late = false): Promise<void> {
     this.world.jobs.set(job.id, job);
+    const needed = (): boolean => (job.follows ?? []).every((dep) => dep.accepted && (!late || dep.doneTold));
+    while (!needed() && !this.over) await this.sleep(500);
     for (;;) {
       const answer = await this.ask('POST', '/v2/runs', job.body);
       if (this.over) return;
@@ -172,6 +206,24 @@
     }
   }
 
+  /** A pipeline: one job, two that follow it, a gang of the other team that follows both, and an urgent one at the end. */
+  private pipeline(n: number): readonly StandInJob[] {
+    const stage = (k: number, over: Partial<Record<string, unknown>>, follows: readonly StandInJob[]) => ({
+      ...jobOf(
+        1_000 + n * 10 + k,
+        { ...over, follows: follows.map((job) => job.id) },
+        (3 + this.luck.below(8)) * 1_000,
+      ),
+      follows,
+    });
+    const first = stage(0, { heads: 2, urgency: 'best_effort', agistment: true }, []);
+    const left = stage(1, { heads: 3, urgency: 'best_effort' }, [first]);
+    const right = stage(2, { heads: 2, owner: 'blue', urgency: 'best_effort' }, [first]);
+    const merge = stage(3, { shape: 'group', heads: 2, owner: 'blue', together: true }, [left, right]);
+    const last = stage(4, { heads: 2, urgency: 'urgent', dueS: 60 }, [merge]);
+    return [first, left, right, merge, last];
+  }
+
   /** Room for a waiting job on machines that are up and reached, with its team under its limit. */
   private hasRoom(job: StandInJob): boolean {
     const used = (gpus: number, task: { job: StandInJob; state: string }): number =>
@@ -214,7 +266,8 @@
       const begun = [...this.world.machines.values()].some((machine) =>
         [...machine.tasks.values()].some((task) => task.job === job),
       );
-      if (begun || this.cancelling.has(job.id) || this.world.allDone(job) || !this.hasRoom(job)) {
+      const waits = (job.follows ?? []).some((dep) => !this.world.allDone(dep));
+      if (begun || waits || this.cancelling.has(job.id) || this.world.allDone(job) || !this.hasRoom(job)) {
         this.waitingSince.delete(job.id);
         continue;
       }
@@ -238,6 +291,13 @@
         this.jobs.push(job);
         setTimeout(() => void this.user(job), 3_000 + n * (day.everyS ?? 4) * 1_000);
       }
+      for (let n = 0; n < (day.pipelines ?? 0); n += 1) {
+        this.pipeline(n).forEach((job, k) => {
+          this.jobs.push(job);
+          const late = k === 4 && n % 3 === 2;
+          setTimeout(() => void this.user(job, late), 6_000 + n * (day.everyS ?? 4) * 2_000);
+        });
+      }
       const troubles = [...day.troubles].sort((a, b) => a[0] - b[0]);
       this.calm = begin + (troubles.at(-1)?.[0] ?? 0) * 1_000 + 1_000;
       const end = begin + 700_000;
--- a/src/testing/hunt.ts
+++ b/src/testing/hunt.ts
@@ -19,10 +19,14 @@
     at += luck.below(100) / 10 + (luck.chance(0.3) ? 15 : 0);
   }
   const long = luck.chance(0.5);
+  const pipelines = seed % 2 === 0;
+  if (pipelines)
+    for (const after of [3, 9, 20]) troubles.push([at + after - 12, (day) => day.cancelPipelines(1)]);
   return {
     names: names.join(' '),
     seed,
-    jobs: 10 + luck.below(8),
+    jobs: pipelines ? 5 : 10 + luck.below(8),
+    pipelines: pipelines ? 4 + luck.below(4) : 0,
     everyS: 2 + luck.below(4),
     runS: long ? [40, 110] : [6, 25],
     troubles,
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -71,7 +71,14 @@
   const add = (gang: boolean) => {
     jobs += 1;
     return book.adoptJob(
-      { spec: specOf(jobs, gang), at: now - 20_000, cancelled: false, cancelledAt: null },
+      {
+        spec: specOf(jobs, gang),
+        at: now - 20_000,
+        cancelled: false,
+        cancelledAt: null,
+        follows: [],
+        parts: 0,
+      },
       1,
     );
   };
--- a/src/testing/world.ts
+++ b/src/testing/world.ts
@@ -155,6 +155,8 @@
   readonly cpus: number;
   readonly memoryGb: number;
   readonly runMs: number;
+  /** Jobs that have to be done before a task of this one starts. */
+  readonly follows?: readonly StandInJob[];
   /** ms that each task runs longer than the one before. */
   readonly apartMs?: number;
   accepted: boolean;
@@ -589,6 +591,8 @@
       this.broken.push(`wrong_place ${job.id}/${index}`);
     if (machine.spot && job.body['agistment'] !== true)
       this.broken.push(`wrong_place ${job.id}/${index} on spot`);
+    for (const before of job.follows ?? [])
+      if (!this.allDone(before)) this.broken.push(`too_early ${job.id}/${index} before ${before.id}`);
     const used = on
       .filter(({ task }) => task.job.team === job.team)
       .reduce((sum, { task }) => sum + task.job.gpus, job.gpus);
