--- /dev/null
+++ b/src/cancellation/evidence.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { readHeed } from './assurance.js';
+import { assure, rideUntil, type FreshClaim, type Signs } from './evidence.js';
+
+/** When a cancellation that is durable at revision 100 may be told. */
+const none: Signs = { acknowledged: null, summary: null, mark: null, understands: true };
+const held = (version: number): FreshClaim => ({ _tag: 'held', node: 'n1', version });
+const rows: readonly { name: string; claim: FreshClaim; signs: Signs; by: string | null }[] = [
+  { name: 'the claim could not be read', claim: { _tag: 'unsure' }, signs: none, by: null },
+  { name: 'nobody holds the share', claim: { _tag: 'free' }, signs: none, by: 'free' },
+  { name: 'the holder came later', claim: held(101), signs: none, by: 'later claim' },
+  // It answers workers with nothing before it has read the share's runs, and rides out an outage like that.
+  {
+    name: 'the holder came later and is of an earlier version',
+    claim: held(101),
+    signs: { ...none, understands: false },
+    by: null,
+  },
+  { name: 'the holder was there before, and gave no sign', claim: held(50), signs: none, by: null },
+  {
+    name: 'the holder has it in its book',
+    claim: held(50),
+    signs: { ...none, acknowledged: { claim: 50 } },
+    by: 'acknowledged',
+  },
+  {
+    name: 'an acknowledgement under a claim that is over',
+    claim: held(50),
+    signs: { ...none, acknowledged: { claim: 40 } },
+    by: null,
+  },
+  {
+    name: 'its summary shows a later revision',
+    claim: held(50),
+    signs: { ...none, summary: { claim: 50, revision: 100 }, understands: false },
+    by: 'summary',
+  },
+  {
+    name: 'its summary is from before',
+    claim: held(50),
+    signs: { ...none, summary: { claim: 50, revision: 99 } },
+    by: null,
+  },
+  {
+    name: 'a summary of the holder before',
+    claim: held(50),
+    signs: { ...none, summary: { claim: 40, revision: 200 } },
+    by: null,
+  },
+  {
+    name: 'its durable mark, where connections are refused',
+    claim: held(50),
+    signs: { ...none, mark: { claim: 50, revision: 120 } },
+    by: 'mark',
+  },
+  {
+    name: 'a mark of the holder before',
+    claim: held(50),
+    signs: { ...none, mark: { claim: 40, revision: 120 } },
+    by: null,
+  },
+];
+for (const row of rows) {
+  test(`assurance: ${row.name}`, () => {
+    const assured = assure(100, row.claim, row.signs);
+    assert.equal(assured._tag === 'assured' ? assured.by : null, row.by);
+  });
+}
+
+const rides: readonly { name: string; confirmed: boolean; nobodyTells: boolean; until: number | null }[] = [
+  { name: 'no outage', confirmed: false, nobodyTells: true, until: null },
+  // Read fresh at 1,000: what is told after that has 44 s, of which 24 are the workers' lease and 5 margin.
+  {
+    name: 'somebody may tell what the holder does not know',
+    confirmed: true,
+    nobodyTells: false,
+    until: 16_000,
+  },
+  {
+    name: 'everybody tells only what it has acknowledged',
+    confirmed: true,
+    nobodyTells: true,
+    until: Number.POSITIVE_INFINITY,
+  },
+];
+for (const row of rides) {
+  test(`riding: ${row.name}`, () =>
+    assert.equal(
+      rideUntil({ ...row, freshAt: 1_000, cancelMs: 44_000, leaseMs: 24_000, marginMs: 5_000 }),
+      row.until,
+    ));
+}
+
+test('assurance: what siblings send is checked', () => {
+  assert.deepEqual(readHeed([[1, 50, 'job-1', 100], [1, 'x', 'job-1', 100], 7, null]), [
+    { slot: 1, claim: 50, job: 'job-1', version: 100 },
+  ]);
+  assert.deepEqual(readHeed(null), []);
+});
--- a/src/fleet/leader.test.ts
+++ b/src/fleet/leader.test.ts
@@ -63,6 +63,8 @@
       mirror,
       cloud: new Cloud({ host: 'cloud', port: 1 }, 2, 1, now, callers),
       shares: 3,
+      valueBytes: 16 * 1024,
+      maySplit: () => true,
       listLagS: 10,
       catalog: () => new Map(),
       entitled: () => 1,
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -13,12 +13,14 @@
   RELEASE_MAX,
   RENTS_AT_ONCE,
   STORE_RETRY_MS,
+  VALUE_FILL,
 } from '../constants.js';
-import type { Catalog, MachineType } from '../jobs/model.js';
+import type { Catalog } from '../jobs/model.js';
 import { log } from '../log.js';
 import type { Item, Store } from '../store/client.js';
 import { CATALOG_KEY, claimKey, machineKey } from '../store/keys.js';
 import type { Mirror } from '../store/mirror.js';
+import { readStored, storeCatalog } from './catalog.js';
 import type { Cloud, ListedMachine } from './cloud.js';
 import { planSteps, type Moving, type Step } from './plan.js';
 import {
@@ -36,6 +38,10 @@
   readonly cloud: Cloud;
   readonly shares: number;
   readonly listLagS: number;
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
+  /** Every node reads records that are parted. */
+  readonly maySplit: () => boolean;
   readonly catalog: () => Catalog | null;
   /** The revision of our claim to lead, if we may act on it now. */
   readonly entitled: () => number | null;
@@ -157,12 +163,19 @@
         return;
       }
       const known = this.input.mirror.get(CATALOG_KEY);
-      if (known && JSON.stringify(known.value) === JSON.stringify(result.types)) return;
-      yield* this.input.store.txn(
-        [{ key: CATALOG_KEY, version: known?.version ?? 0 }],
-        [{ _tag: 'put', key: CATALOG_KEY, value: result.types }],
-        'user',
+      const before = known ? readStored(known, (key) => this.input.mirror.get(key)) : null;
+      if (before && JSON.stringify(before) === JSON.stringify(result.types)) return;
+      const writes = storeCatalog(
+        result.types,
+        this.input.valueBytes * VALUE_FILL,
+        this.input.store.txnOps,
+        this.input.maySplit(),
       );
+      if (writes === null) {
+        log.error({ event: 'catalog.too_long', types: result.types.length });
+        return;
+      }
+      yield* this.input.store.txn([{ key: CATALOG_KEY, version: known?.version ?? 0 }], writes, 'user');
     });
   }
 
@@ -436,6 +449,3 @@
 }
 
 const kindKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
-
-export const readCatalog = (value: unknown): Catalog =>
-  new Map((value as MachineType[]).map((type) => [type.name, type]));
--- a/src/meetings.test.ts
+++ b/src/meetings.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { NODES } from './testing/cluster.js';
 import { playDay, type Day, type Play } from './testing/day.js';
 import { TROUBLES } from './testing/troubles.js';
 import { Luck } from './testing/world.js';
@@ -9,6 +10,33 @@
   (TROUBLES[name]?.(new Luck(seed)) ?? []).map(([offset, happen]) => [start + offset, happen] as const);
 
 /** Troubles that meet, each brought about against our own stand-ins. */
+/** The gap again, with its times drawn: refusal, cancellations, outage, and a crash or a takeover in it. */
+const drawnGap = (seed: number): Day & { readonly name: string } => {
+  const luck = new Luck(seed);
+  const tenths = (below: number): number => luck.below(below * 10) / 10;
+  const refused = 36 + tenths(8);
+  const outage = refused + 0.3 + tenths(5);
+  const over = outage + 20 + tenths(40);
+  const crash = outage - 2 + tenths(30);
+  return {
+    name: `refusal, cancellations, outage, crash and takeover at drawn times (seed ${seed})`,
+    seed,
+    jobs: 9,
+    runS: [90, 140],
+    troubles: [
+      [refused, (day) => day.world.state.refused.add(day.busiest())],
+      ...[0, 1, 2].map(
+        () => [refused - 1 + tenths(4), (day: Play) => day.cancelRunning(1 + luck.below(3))] as const,
+      ),
+      [outage, (day) => day.world.state.outage(true)],
+      [refused + 1 + tenths(30), (day) => day.world.state.refused.clear()],
+      [crash, (day) => day.cluster.down(NODES[seed % 3] ?? 'n0')],
+      [crash + (luck.chance(0.5) ? 0.1 : 4), (day) => day.cluster.up(NODES[seed % 3] ?? 'n0')],
+      [over, (day) => day.world.state.outage(false)],
+    ],
+  };
+};
+
 const rows: readonly (Day & { readonly name: string })[] = [
   // The holder never saw the cancellation, and rode out the outage that followed, answering its workers all the while.
   ...[21, 22, 23].map((seed) => ({
@@ -24,6 +52,8 @@
       [98, (day) => day.world.state.outage(false)],
     ] satisfies Day['troubles'],
   })),
+  ...[71, 72, 73, 74].map(drawnGap),
+
   // 1. Slow state, then refused alone, then out for all: answers about cancellations wait for their holder, nothing is told too early.
   {
     name: 'a slow state, then the holder refused, then an outage, while users cancel and ask',
@@ -246,6 +276,47 @@
       [65, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.world.hold(node, []))],
     ],
   },
+
+  // Pipelines: nothing starts before what it follows is done, and nothing outlives what is cancelled before it.
+  {
+    name: 'pipelines across shares, holders end between the stages',
+    seed: 81,
+    jobs: 6,
+    pipelines: 6,
+    troubles: [18, 30, 41, 53].flatMap((start, k) => at(start, 'crashBusiest', k)),
+  },
+  {
+    name: 'pipelines called off while holders are cut off, refused and replaced, then an outage',
+    seed: 82,
+    jobs: 5,
+    pipelines: 7,
+    everyS: 2,
+    troubles: [
+      [18, (day) => day.cancelPipelines(1)],
+      ...at(24, 'isolated', 3),
+      [25, (day) => day.cancelPipelines(2)],
+      [40, (day) => day.world.state.refused.add(day.busiest())],
+      [40.2, (day) => day.cancelPipelines(2)],
+      [41, (day) => day.world.state.outage(true)],
+      [66, (day) => day.world.state.outage(false)],
+      [67, (day) => day.world.state.refused.clear()],
+    ],
+  },
+  {
+    name: 'pipelines under late transactions, late reports and copies, all controllers away between',
+    seed: 83,
+    jobs: 5,
+    pipelines: 6,
+    troubles: [
+      ...at(10, 'lateWrites', 2),
+      ...at(12, 'lateReports', 3),
+      ...at(14, 'copies', 4),
+      [30, (day) => day.cancelPipelines(1)],
+      ...at(36, 'crashAll', 1),
+      ...at(60, 'lateWrites', 5),
+      [62, (day) => day.cancelPipelines(1)],
+    ],
+  },
 ];
 
 for (const row of rows)
--- a/src/service.ts
+++ b/src/service.ts
@@ -24,7 +24,8 @@
   USER_BUDGET_MS,
 } from './constants.js';
 import { Cloud } from './fleet/cloud.js';
-import { Leader, readCatalog } from './fleet/leader.js';
+import { readStored, toCatalog } from './fleet/catalog.js';
+import { Leader } from './fleet/leader.js';
 import type { Hold, Move, Summary } from './fleet/records.js';
 import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
 import { UsersApi } from './jobs/api.js';
@@ -112,8 +113,11 @@
   const catalog = (): Catalog | null => {
     const item = mirror.get(CATALOG_KEY);
     if (item && item.version !== catalogVersion) {
+      const types = readStored(item, (key) => mirror.get(key));
+      // What was known before holds until all parts are there.
+      if (types === null) return catalogValue;
       catalogVersion = item.version;
-      catalogValue = readCatalog(item.value);
+      catalogValue = toCatalog(types);
     }
     return catalogValue;
   };
@@ -274,6 +278,8 @@
     cloud,
     shares: slots,
     listLagS: facts.cloud.list_lag_s,
+    valueBytes,
+    maySplit: () => level.agreed >= LEVEL_PIPELINES,
     catalog,
     entitled: () => keeper.entitled(LEADER),
     summaries: () => {
--- a/src/store/keys.ts
+++ b/src/store/keys.ts
@@ -12,6 +12,7 @@
 /** What every node of this deployment is known to understand (`mesh/level.ts`). */
 export const LEVEL_KEY = 'w/level';
 export const CATALOG_KEY = 'w/catalog';
+export const catalogPartKey = (part: number): string => `w/catalog/${part}`;
 export const runsPrefix = (share: number): string => `r/${share}/`;
 export const runKey = (share: number, job: string, chunk: number): string => `r/${share}/${job}/${chunk}`;
 /** A part of a run whose record is too long for one value. */
--- /dev/null
+++ b/src/store/limits.test.ts
@@ -0,0 +1,238 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import * as Effect from 'effect/Effect';
+import { VALUE_FILL } from '../constants.js';
+import { readStored, storeCatalog } from '../fleet/catalog.js';
+import type { Answer } from '../http.js';
+import { UsersApi } from '../jobs/api.js';
+import { readJobRecord } from '../jobs/codec.js';
+import type { MachineType } from '../jobs/model.js';
+import { Detour } from '../mesh/detour.js';
+import { unpackIds } from '../pipelines/codec.js';
+import { Finals } from '../pipelines/finals.js';
+import { partsOf, readRunRecord, storeRun, type RunRecord } from '../placement/records.js';
+import { lasting } from '../settings/limits.js';
+import { Store, type Item } from './client.js';
+import { FreshReads } from './fresh.js';
+
+/** Every kind of record at the smallest limits known: values of 2 KiB, ten changes a transaction. */
+const BYTES = 2 * 1024;
+const OPS = 10;
+const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
+const limits: readonly { name: string; next: object | undefined; kb: number; ops: number; rate: number }[] = [
+  { name: 'none to come', next: undefined, kb: 16, ops: 48, rate: 60 },
+  {
+    name: 'smaller ones to come',
+    next: { value_kb: 2, txn_ops: 10, write_rps: 42 },
+    kb: 2,
+    ops: 10,
+    rate: 42,
+  },
+  { name: 'only one of them named', next: { value_kb: 2 }, kb: 2, ops: 48, rate: 60 },
+  {
+    name: 'larger ones to come do not hold yet',
+    next: { value_kb: 64, txn_ops: 99 },
+    kb: 16,
+    ops: 48,
+    rate: 60,
+  },
+];
+for (const row of limits) {
+  test(`limits: ${row.name}`, () => {
+    const state = { rps: 150, write_rps: 60, value_kb: 16, txn_ops: 48 };
+    const found = lasting(row.next ? { ...state, next: row.next } : state);
+    assert.deepEqual(
+      [found.value_kb, found.txn_ops, found.write_rps, found.rps],
+      [row.kb, row.ops, row.rate, 150],
+    );
+  });
+}
+
+const runs: readonly { name: string; record: RunRecord }[] = [
+  {
+    name: 'each task on a machine of its own, the last chunk of the largest job',
+    record: {
+      done: Array.from({ length: 32 }, (_, k) => 99_840 + k),
+      bindings: Array.from({ length: 128 }, (_, k) => ({
+        index: 99_840 + k,
+        machine: `i-${String(k * 7_919).padStart(9, '0')}`,
+        attempt: 900 + (k % 3),
+      })),
+      attempt: 902,
+    },
+  },
+  {
+    name: 'eight side by side on each machine',
+    record: {
+      done: [],
+      bindings: Array.from({ length: 128 }, (_, k) => ({
+        index: 99_840 + k,
+        machine: `i-${String(k >> 3).padStart(6, '0')}`,
+        attempt: 1,
+      })),
+      attempt: 1,
+    },
+  },
+];
+for (const row of runs) {
+  test(`limits: a run, ${row.name}`, () => {
+    const { record, parts } = storeRun(row.record, 780, BYTES * VALUE_FILL, true);
+    for (const value of [record, ...parts]) assert.ok(bytesOf(value) <= BYTES, `${bytesOf(value)} B`);
+    assert.equal(partsOf(record), parts.length);
+    assert.ok(1 + parts.length <= OPS);
+    assert.deepEqual(readRunRecord(JSON.parse(JSON.stringify(record)), 780, parts), row.record);
+  });
+}
+
+const types = (count: number): readonly MachineType[] =>
+  Array.from({ length: count }, (_, k) => ({
+    name: `type-with-a-long-name-${k}`,
+    cpus: 96,
+    gpus: 8,
+    memoryGb: 768.5,
+    cacheGb: 200,
+    price: 12.345678,
+    spotPrice: 4.567891,
+    bootS: 45,
+    zones: ['hobart-north', 'launceston', 'hobart-south'],
+  }));
+for (const count of [1, 40]) {
+  test(`limits: a catalog of ${count} types`, () => {
+    const writes = storeCatalog(types(count), BYTES * VALUE_FILL, OPS, true);
+    assert.ok(writes !== null && writes.length <= OPS);
+    const items = new Map<string, Item>();
+    for (const write of writes) {
+      assert.ok(write._tag === 'put' && bytesOf(write.value) <= BYTES);
+      items.set(write.key, { key: write.key, value: write.value, version: 7 });
+    }
+    const whole = items.get('w/catalog');
+    assert.ok(whole);
+    assert.deepEqual(
+      readStored(whole, (key) => items.get(key)),
+      types(count),
+    );
+    // Of a part from before nothing is taken.
+    const stale = (key: string): Item | undefined => {
+      const item = items.get(key);
+      return item && { ...item, version: 6 };
+    };
+    assert.equal(readStored(whole, stale) === null, count > 1);
+  });
+}
+
+/** A state service that keeps nothing but notes what it is asked to write. */
+const noting = () => {
+  const writes: { write?: string; remove?: string; data?: unknown }[][] = [];
+  const store = new Store(
+    { host: 'h', port: 1 },
+    { rps: 1e6, write_rps: 1e6, txn_ops: OPS, nodes: 1 },
+    () => 0,
+    () => ({
+      request: (_, path, body): Promise<Answer> => {
+        if (path !== '/txn') return Promise.resolve({ _tag: 'answer', status: 404, body: { epoch: 1 } });
+        writes.push((body as { writes: { write?: string; data?: unknown }[] }).writes);
+        return Promise.resolve({ _tag: 'answer', status: 200, body: { epoch: 2 } });
+      },
+    }),
+  );
+  return { store, writes };
+};
+
+test('limits: the longest list of followed jobs that a submission can hold', async () => {
+  const { store, writes } = noting();
+  const follows = Array.from({ length: 4_000 }, (_, k) => `job-${String(k * 211).padStart(6, '0')}`);
+  const catalog = new Map(types(1).map((type) => [type.name, type]));
+  const api = new UsersApi({
+    store,
+    fresh: new FreshReads(store),
+    finals: new Finals(store),
+    pipelines: { readiness: () => ({ _tag: 'waiting' }), resolve: () => Effect.succeed(true) },
+    takesPipelines: () => true,
+    valueBytes: BYTES,
+    copyAgeMs: () => 0,
+    assured: () => Effect.succeed(true),
+    mirror: { get: (key) => ({ key, value: null, version: 1 }) },
+    catalog: () => catalog,
+    zones: ['a'],
+    limits: new Map([['red', { cpusMax: 0, gpusMax: 8 }]]),
+    counts: () => null,
+    wall: () => 1_700_000_000_000,
+  });
+  const body = {
+    uid: 'job-999999',
+    herd: 'h'.repeat(250),
+    owner: 'red',
+    shape: 'sweep',
+    urgency: 'urgent',
+    heads: 2,
+    vcpus: 1,
+    accelerators: 0,
+    memoryGb: 1,
+    brand: 'b'.repeat(250),
+    sizeGb: 1,
+    breeds: null,
+    paddock: null,
+    together: false,
+    scatter: false,
+    agistment: true,
+    expectedS: 8,
+    musterEveryS: 0,
+    musterS: 0,
+    dueS: 60,
+    follows,
+  };
+  const reply = await Effect.runPromise(
+    api.handle({ method: 'POST', path: '', query: '', body: { _tag: 'value', value: body } }, []),
+  );
+  assert.equal(reply.status, 201);
+  const [sent] = writes;
+  assert.ok(sent && sent.length <= OPS);
+  for (const write of sent)
+    assert.ok(bytesOf(write.data) <= BYTES, `${write.write} ${bytesOf(write.data)} B`);
+  const record = readJobRecord(sent.at(-1)?.data);
+  assert.equal(record.parts, sent.length - 1);
+  assert.deepEqual(
+    sent
+      .slice(0, -1)
+      .flatMap((write) => unpackIds(write.data as string[]))
+      .sort(),
+    [...follows].sort(),
+  );
+});
+
+test('limits: orders and summaries that go through the state service', async () => {
+  const { store, writes } = noting();
+  const detour = new Detour({
+    store,
+    valueBytes: BYTES,
+    now: () => 1e6,
+    leaderClaim: () => 7,
+    cutOff: () => [],
+    give: () => undefined,
+  });
+  const hold = {
+    share: 1,
+    job: 'job-000001',
+    zone: 'launceston',
+    spot: false,
+    types: ['huon-large'],
+    cpus: 21,
+    gpus: 4,
+    memoryGb: 120,
+    tasks: 8,
+    priority: 1,
+    ageMs: 1000,
+  };
+  const moves = Array.from({ length: 200 }, (_, k) => ({ machine: `i-${k}`, to: 1 }));
+  await Effect.runPromise(
+    detour.order(
+      1,
+      moves,
+      Array.from({ length: 30 }, () => hold),
+    ),
+  );
+  const value = writes[0]?.[0]?.data as { moves: unknown[]; holds: unknown[] };
+  assert.ok(bytesOf(value) <= BYTES);
+  assert.ok(value.moves.length > 0 && value.holds.length > 0, 'something of each goes');
+});
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -36,7 +36,13 @@
       gang_peer_s: 4,
       cancel_s: CANCEL_MS / 1000,
     },
-    state: { rps: 300, write_rps: 150, value_kb: 16, txn_ops: 32 },
+    state: {
+      rps: 300,
+      write_rps: 150,
+      value_kb: 16,
+      txn_ops: 32,
+      next: { write_rps: 120, value_kb: 2, txn_ops: 10 },
+    },
     cloud: { rps: 4, list_lag_s: 5 },
     quota: { core_share: 1, ram_mb: 300, fd_limit: 1000 },
     clock_error_ms: 10,
@@ -57,6 +63,8 @@
     { controller: Controller; fiber: Fiber.Fiber<unknown>; alive: { yes: boolean } }
   >();
   private incarnation = 0;
+  /** The version that a node's next process runs; this one unless said otherwise. */
+  readonly versions = new Map<string, typeof compose>();
   constructor(private readonly world: World) {}
 
   up(name: string): void {
@@ -64,7 +72,7 @@
     this.incarnation += 1;
     const alive = { yes: true };
     const never = new Promise<never>(() => undefined);
-    const controller = compose(settingsOf(name, this.world.limits), {
+    const controller = (this.versions.get(name) ?? compose)(settingsOf(name, this.world.limits), {
       now: () => Date.now(),
       wall: () => Date.now(),
       incarnation: `${name}.${this.incarnation}`,
--- a/src/testing/day.ts
+++ b/src/testing/day.ts
@@ -1,5 +1,6 @@
 import { mock } from 'node:test';
 import type { Answer } from '../http.js';
+import type { compose } from '../service.js';
 import { CANCEL_MS, Cluster, jobOf, LEASE_MS, NODES, REPORT_MS, STEP_MS, tick } from './cluster.js';
 import { Luck, World, type StandInJob } from './world.js';
 
@@ -21,6 +22,10 @@
   readonly cancelAtEnd?: number;
   /** Arrays of two or three tasks, of which the later ones run far longer. */
   readonly apart?: boolean;
+  /** The version that all processes run at the begin, until `upgrade`. */
+  readonly production?: typeof compose;
+  /** s from the begin: no job that follows others is submitted before. */
+  readonly pipelinesFromS?: number;
   /** Pipelines of five jobs each, across teams; some of their last jobs come when the others are over. */
   readonly pipelines?: number;
 }
@@ -63,6 +68,12 @@
     const count = (slot: string): number => this.world.state.keys(`r/${slot}/`).length;
     return this.holder(['0', '1', '2'].sort((a, b) => count(b) - count(a))[0] ?? '0');
   }
+  /** The node's process ends and comes back with this version. */
+  upgrade(node: string): void {
+    this.cluster.down(node);
+    this.cluster.versions.delete(node);
+    this.cluster.up(node);
+  }
   others(node: string): string[] {
     return NODES.filter((other) => other !== node);
   }
@@ -160,12 +171,20 @@
     for (const job of jobs) void this.cancel(job);
   }
 
+  /** Nothing new is asked of an earlier version, which would take it and understand half of it. */
+  private submit(job: StandInJob): Promise<Answer> {
+    const nodes = NODES.filter((node) => job.follows === undefined || !this.cluster.versions.has(node));
+    const node = nodes[this.luck.below(Math.max(1, nodes.length))];
+    if (node === undefined) return Promise.resolve({ _tag: 'silence', why: 'no node of this version' });
+    return this.world.call('user', node, 'POST', '/v2/runs', job.body, 2_000);
+  }
+
   private async user(job: StandInJob, late = false): Promise<void> {
     this.world.jobs.set(job.id, job);
     const needed = (): boolean => (job.follows ?? []).every((dep) => dep.accepted && (!late || dep.doneTold));
     while (!needed() && !this.over) await this.sleep(500);
     for (;;) {
-      const answer = await this.ask('POST', '/v2/runs', job.body);
+      const answer = await this.submit(job);
       if (this.over) return;
       if (answer._tag === 'answer' && (answer.status === 201 || answer.status === 200)) break;
       if (answer._tag === 'answer' && answer.status < 500)
@@ -177,9 +196,7 @@
     // One ask more after the end: an answer must not go back.
     for (let after = 0; after < 2 && !this.over;) {
       const repeat = this.luck.chance(0.1);
-      const answer = repeat
-        ? await this.ask('POST', '/v2/runs', job.body)
-        : await this.ask('GET', `/v2/runs/${job.id}`);
+      const answer = repeat ? await this.submit(job) : await this.ask('GET', `/v2/runs/${job.id}`);
       this.noteState(job, answer);
       if (job.doneTold) after += 1;
       await this.sleep(2_000);
@@ -283,6 +300,7 @@
     mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_700_000_000_000 });
     try {
       const begin = Date.now();
+      if (day.production) for (const node of NODES) cluster.versions.set(node, day.production);
       NODES.forEach((node) => cluster.up(node));
       for (let k = 0; k < 4; k += 1) world.boot(k % 2 === 0 ? 'x' : 'y', false, 100);
       const count = day.jobs ?? 14;
@@ -295,7 +313,10 @@
         this.pipeline(n).forEach((job, k) => {
           this.jobs.push(job);
           const late = k === 4 && n % 3 === 2;
-          setTimeout(() => void this.user(job, late), 6_000 + n * (day.everyS ?? 4) * 2_000);
+          setTimeout(
+            () => void this.user(job, late),
+            (day.pipelinesFromS ?? 6) * 1_000 + n * (day.everyS ?? 4) * 2_000,
+          );
         });
       }
       const troubles = [...day.troubles].sort((a, b) => a[0] - b[0]);
@@ -319,6 +340,7 @@
           if (Date.now() - doneAt > CANCEL_MS + 5_000) break;
         }
       }
+      world.broken.push(...world.state.tooLarge.map((what) => `400 for size: ${what}`));
       for (const job of this.jobs)
         if (!job.doneTold && world.broken.length === 0) world.broken.push(`never over: ${job.id}`);
       return [...new Set(world.broken)];
--- a/src/testing/world.ts
+++ b/src/testing/world.ts
@@ -30,6 +30,9 @@
   private readonly news: { key: string; value?: unknown; version: number }[] = [];
   private lastLease = 0;
   down = false;
+  /** bytes of one value and changes of one transaction, at most; what passed them. */
+  limits = { valueBytes: 16 * 1024, ops: 32 };
+  readonly tooLarge: string[] = [];
   /** Nodes that alone are refused. */
   readonly refused = new Set<string>();
 
@@ -99,6 +102,17 @@
     const writes = body['writes'] as (
       { write: string; data: unknown; permit?: number } | { remove: string }
     )[];
+    const sizes = writes.map((write) =>
+      'write' in write ? Buffer.byteLength(JSON.stringify(write.data)) : 0,
+    );
+    const large = sizes.findIndex((size) => size > this.limits.valueBytes);
+    if (large >= 0 || writes.length > this.limits.ops || when.length > 4 * this.limits.ops) {
+      const key = large >= 0 ? JSON.stringify(writes[large]).slice(0, 60) : '';
+      this.tooLarge.push(
+        `${key} ${sizes[large] ?? 0} B, ${writes.length} changes, ${when.length} conditions`,
+      );
+      return reply(400, { error: 'too large' });
+    }
     for (const write of writes) {
       if ('write' in write && write.permit !== undefined && !this.leases.has(write.permit)) {
         return reply(400, { error: 'no such lease' });
