Gangs whose bind does not fit in one transaction are prepared, and bound by one write

Under ten changes a transaction and 2 KiB a value a gang of 1,100 to 2,048 tasks could be accepted and never bound. Its runs are written beforehand and count for nothing until the first, written last, names their attempt.

--- a/src/placement/book.ts
+++ b/src/placement/book.ts
@@ -95,6 +95,7 @@
         firstOpen: 0,
         bindings: new Map(),
         attempt: 0,
+        validAttempt: 0,
         chunks: new Map(),
         failedOn: new Set(),
         errors: 0,
--- /dev/null
+++ b/src/placement/gang.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Answer } from '../http.js';
+import { Store } from '../store/client.js';
+import { parseRunKey, runKey, runPartKey } from '../store/keys.js';
+import { Book } from './book.js';
+import { chunkOf, counts, partsOf, readRunRecord, validAttempt } from './records.js';
+import { Writer } from './writer.js';
+
+/** A gang whose bind does not fit in one transaction: at every moment all of it is bound, or nothing. */
+const OPS = 10;
+const BYTES = 2_048;
+const TASKS = 1_900;
+
+const bindUntil = async (transactions: number) => {
+  const items = new Map<string, unknown>();
+  let carriedOut = 0;
+  let revision = 0;
+  const request = (_: string, path: string, body: unknown): Promise<Answer> => {
+    const { writes } = body as { writes: { write?: string; remove?: string; data?: unknown }[] };
+    assert.equal(path, '/txn');
+    assert.ok(writes.length <= OPS, `${writes.length} changes`);
+    if (carriedOut >= transactions)
+      return Promise.resolve({ _tag: 'answer', status: 409, body: { failed: ['w/c/0'] } });
+    carriedOut += 1;
+    revision += 1;
+    for (const { write, remove, data } of writes) {
+      if (write !== undefined) {
+        assert.ok(Buffer.byteLength(JSON.stringify(data)) <= BYTES);
+        items.set(write, JSON.parse(JSON.stringify(data)));
+      } else if (remove !== undefined) items.delete(remove);
+    }
+    return Promise.resolve({ _tag: 'answer', status: 200, body: { epoch: revision } });
+  };
+  const store = new Store(
+    { host: 'h', port: 1 },
+    { rps: 1e6, write_rps: 1e6, txn_ops: OPS, nodes: 1 },
+    () => 0,
+    () => ({ request }),
+  );
+  const book = new Book({ now: () => 0, wall: () => 0, poke: () => undefined });
+  const writer = new Writer({
+    store,
+    slot: 0,
+    claim: 5,
+    wall: () => 0,
+    valueBytes: BYTES,
+    maySplit: () => true,
+    lost: () => undefined,
+    isLost: () => false,
+  });
+  const job = book.adoptJob(
+    {
+      spec: {
+        id: 'job-1',
+        klass: 'c',
+        team: 't',
+        kind: 'gang',
+        priority: 1,
+        tasks: TASKS,
+        cpus: 1,
+        gpus: 0,
+        memoryGb: 1,
+        types: null,
+        zone: null,
+        oneZone: false,
+        spread: false,
+        spot: false,
+        image: 'i',
+        imageGb: 1,
+        estimateS: 10,
+        checkpointS: 0,
+        saveS: 0,
+        deadlineS: null,
+      },
+      at: 0,
+      cancelled: false,
+      cancelledAt: null,
+      follows: [],
+      parts: 0,
+    },
+    1,
+  );
+  job.attempt = 3;
+  for (let index = 0; index < TASKS; index += 1) {
+    const record = {
+      share: 0,
+      type: 'g',
+      zone: 'x',
+      spot: false,
+      at: 0,
+      releasing: false,
+      addr: '',
+      session: 0,
+    };
+    // No two side by side on one machine: the longest that a run can be.
+    const id = `i-${String(index).padStart(9, '0')}`;
+    const machine = book.addMachine(id, record, 2, { cpus: 1, gpus: 0, memoryGb: 1 });
+    book.bind(job, index, 3, machine, { _tag: 'binding' });
+  }
+  const chunks = Array.from({ length: chunkOf(TASKS - 1) + 1 }, (_, chunk) => chunk);
+  const bound = await writer.commitGang(
+    job,
+    chunks.map((chunk) => writer.runWrite(job, chunk)),
+    'bind',
+  );
+  /** What a new holder would find bound. */
+  let found = 0;
+  const first = items.get(runKey(0, 'job-1', 0));
+  for (const [key, value] of items) {
+    const name = parseRunKey(key);
+    if (!name || name.part !== null || !counts(value, first)) continue;
+    const parts = Array.from({ length: partsOf(value) }, (_, part) =>
+      items.get(runPartKey(0, 'job-1', name.chunk, part)),
+    );
+    found += readRunRecord(value, name.chunk, parts).bindings.length;
+  }
+  return { bound, found, carriedOut, job, valid: validAttempt(first), writing: job.writing };
+};
+
+test('gang: what is prepared counts for nothing until the one write that binds it', async () => {
+  const whole = await bindUntil(1_000);
+  assert.deepEqual([whole.bound, whole.found, whole.valid], [true, TASKS, 3]);
+  assert.ok(whole.carriedOut > 2, 'it does not fit in one or two');
+  for (let ended = 0; ended < whole.carriedOut; ended += 1) {
+    const part = await bindUntil(ended);
+    assert.deepEqual([part.bound, part.found, part.writing], [false, 0, 0], `ended after ${ended}`);
+    // Parts that are left behind are written over.
+    assert.ok([...part.job.chunks.values()].every((chunk) => chunk.dirtyFrom !== null));
+  }
+});
--- a/src/placement/records.ts
+++ b/src/placement/records.ts
@@ -89,6 +89,26 @@
   };
 };
 
+/**
+ * A gang whose bind doesn't fit in one transaction is prepared: all runs but the first are written beforehand and count
+ * for nothing until the first, written last, names their attempt as valid. That one write binds the gang.
+ */
+export const prepared = (stored: StoredRun): StoredRun => ({
+  ...stored,
+  record: { ...(stored.record as object), q: 1 },
+});
+export const validating = (stored: StoredRun, attempt: number): StoredRun => ({
+  ...stored,
+  record: { ...(stored.record as object), v: attempt },
+});
+/** The attempt that a job's first run names as valid; 0: none. */
+export const validAttempt = (first: unknown): number => (first as { v?: number } | undefined)?.v ?? 0;
+/** Do the bindings of a run count, given the first of its job? */
+export const counts = (data: unknown, first: unknown): boolean => {
+  const { q, n } = data as { q?: number; n: number };
+  return q === undefined || validAttempt(first) === n;
+};
+
 /** How many parts the stored record of a run has. */
 export const partsOf = (data: unknown): number => (data as { p?: number }).p ?? 0;
 
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -32,7 +32,7 @@
 import { chooseVictims, type Occupied } from './evict.js';
 import { needsOf, sparesOf, type Waiting } from './needs.js';
 import { packAll, type Limit, type Put, type Room, type Use } from './pack.js';
-import { chunkOf, durableKeys, partsOf, readRunRecord } from './records.js';
+import { chunkOf, counts, durableKeys, partsOf, readRunRecord, validAttempt } from './records.js';
 import { bindingKey, isFinished, type Binding, type ShareJob, type ShareMachine } from './state.js';
 import { onMachine } from './task.js';
 import type { Objectives } from './urgency.js';
@@ -271,14 +271,19 @@
     const record = readRunRecord(item.value, name.chunk, parts);
     job.attempt = Math.max(job.attempt, record.attempt);
     for (const index of record.done) job.done.add(index);
+    const first = items.get(runKey(this.slot, name.job, 0))?.value;
+    if (name.chunk === 0) job.validAttempt = validAttempt(first);
+    // Prepared for a bind that never was: it counts for nothing, and is cleared.
+    const valid = counts(item.value, first);
     const chunk = {
       version: item.version,
       parts: count,
-      durable: durableKeys(job.spec.id, record),
+      durable: valid ? durableKeys(job.spec.id, record) : new Set<string>(),
       dirtyFrom: null as number | null,
     };
     job.chunks.set(name.chunk, chunk);
-    for (const bound of record.bindings) {
+    if (!valid) chunk.dirtyFrom = 0;
+    for (const bound of valid ? record.bindings : []) {
       const machine = this.book.machines.get(bound.machine);
       // No record of the machine: it was released, and that was answered 200.
       if (!machine) {
@@ -602,7 +607,7 @@
         bindings: bindings.filter((binding) => chunkOf(binding.index) === chunk),
       }));
       // A gang's bind is one conditional write.
-      if (job.spec.kind === 'gang') commits.push(this.commitBinds(entries));
+      if (job.spec.kind === 'gang') commits.push(this.commitBinds(entries, job));
       else arrays.push(...entries);
     }
     for (const batch of this.writer.batches(arrays)) commits.push(this.commitBinds(batch));
@@ -611,11 +616,12 @@
 
   private async commitBinds(
     entries: readonly { write: RunWrite; bindings: readonly Binding[] }[],
+    gang: ShareJob | null = null,
   ): Promise<void> {
-    const committed = await this.writer.commitRuns(
-      entries.map((entry) => entry.write),
-      'bind',
-    );
+    const writes = entries.map((entry) => entry.write);
+    const committed = gang
+      ? await this.writer.commitGang(gang, writes, 'bind')
+      : await this.writer.commitRuns(writes, 'bind');
     const bindings = entries.flatMap((entry) => entry.bindings);
     for (const binding of bindings) {
       if (committed) this.book.apply(binding, { _tag: 'durable' });
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -59,6 +59,8 @@
   firstOpen: number;
   readonly bindings: Map<number, Binding>;
   attempt: number;
+  /** The attempt that its first run names as valid for runs that were prepared; 0: none. */
+  validAttempt: number;
   readonly chunks: Map<number, Chunk>;
   /** Machines on which tasks of this job failed. */
   readonly failedOn: Set<string>;
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -7,7 +7,15 @@
 import type { Rank } from '../store/budget.js';
 import type { Condition, Store, TxnResult, Write } from '../store/client.js';
 import { claimKey, finalKey, followsKey, jobKey, machineKey, runKey, runPartKey } from '../store/keys.js';
-import { durableKeys, runRecord, storeRun, type RunRecord, type StoredRun } from './records.js';
+import {
+  durableKeys,
+  prepared,
+  runRecord,
+  storeRun,
+  validating,
+  type RunRecord,
+  type StoredRun,
+} from './records.js';
 import type { Chunk, ShareJob, ShareMachine } from './state.js';
 
 export interface WriterInput {
@@ -128,7 +136,9 @@
   runWrite(job: ShareJob, chunk: number): RunWrite {
     const record = runRecord(job, chunk);
     const bytes = this.input.valueBytes * VALUE_FILL;
-    return { job, chunk, record, stored: storeRun(record, chunk, bytes, this.input.maySplit()) };
+    const stored = storeRun(record, chunk, bytes, this.input.maySplit());
+    const keeps = chunk === 0 && job.validAttempt > 0;
+    return { job, chunk, record, stored: keeps ? validating(stored, job.validAttempt) : stored };
   }
 
   private changesOf(write: RunWrite): number {
@@ -199,6 +209,43 @@
     return committed;
   }
 
+  /** Binds a gang: in one transaction, or, where that can't hold it, by one that makes valid what was prepared. */
+  async commitGang(job: ShareJob, writes: readonly RunWrite[], rank: Rank): Promise<boolean> {
+    const changes = writes.reduce((sum, write) => sum + this.changesOf(write), 0);
+    const [first, ...others] = writes;
+    if (!first || first.chunk !== 0 || changes <= this.input.store.txnOps || !this.input.maySplit())
+      return this.commitRuns(writes, rank);
+    // Nothing else writes its runs in between.
+    job.writing += 1;
+    try {
+      const entries = others.map((write) => ({ write: { ...write, stored: prepared(write.stored) } }));
+      for (const batch of this.batches(entries)) {
+        const ready = await this.commitRuns(
+          batch.map((entry) => entry.write),
+          rank,
+        );
+        if (!ready) return this.unprepared(job);
+      }
+      const before = job.validAttempt;
+      job.validAttempt = job.attempt;
+      const bound = await this.commitRuns(
+        [{ ...first, stored: validating(first.stored, job.attempt) }],
+        rank,
+      );
+      if (bound) return true;
+      job.validAttempt = before;
+      return this.unprepared(job);
+    } finally {
+      job.writing -= 1;
+    }
+  }
+
+  /** What was prepared and is not valid is written over. */
+  private unprepared(job: ShareJob): false {
+    for (const chunk of job.chunks.values()) chunk.dirtyFrom ??= 0;
+    return false;
+  }
+
   /** A run's record with its parts, and parts of the last one that are no more. All change together, so the record's
    *  revision guards them. */
   private changes(write: RunWrite, before: number): readonly Write[] {
