--- a/src/fleet/leader.test.ts
+++ b/src/fleet/leader.test.ts
@@ -53,7 +53,10 @@
       { write: 'w/c/L', data: { n: 'n0', i: '1' } },
       ...known.map((id) => ({ write: `w/m/${id}`, data: writeMachineRecord(record) })),
     ];
+    // All records are put at once; from then on what the settings say holds.
+    state.limits = { valueBytes: 16 * 1024, ops: puts.length };
     await state.handle('n0', 'POST', '/txn', { when: [], writes: puts });
+    state.limits.ops = 48;
     const now = (): number => Date.now();
     const limits = { rps: 150, write_rps: CHANGES_A_SECOND, txn_ops: 48, nodes: 1 };
     const store = new Store({ host: 'state', port: 1 }, limits, now, callers);
--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -227,6 +227,7 @@
 
 const main = async (): Promise<void> => {
   const state = new StateStandIn();
+  state.limits.ops = 48;
   const failed = (error: unknown): void => console.error(error);
   await serve(
     parseTarget(`${HOST}:${PORT + 1}`),
