--- a/src/placement/dialogue.ts
+++ b/src/placement/dialogue.ts
@@ -73,7 +73,7 @@
     machine.noticeS = report.noticeS;
     const bound = machine.bound.size;
     for (const change of changes) book.apply(change.binding, change.event);
-    if (forgotUs) this.mute(machine, 'its lease ran out although we answered');
+    if (forgotUs) this.findDeaf(machine, 'its lease ran out although we answered');
     else this.checkHeard(machine);
     if (machine.noticeAt !== null) book.drain(machine);
     if (machine.confirmedToken !== 0 && !wasConfirmed) this.input.poke();
@@ -86,7 +86,7 @@
   private checkHeard(machine: ShareMachine): void {
     for (const binding of machine.bound.values()) {
       if (binding.phase._tag === 'bound' && !binding.stop && binding.asked >= RUN_TRIES)
-        return this.mute(machine, 'it starts nothing');
+        return this.findDeaf(machine, 'it starts nothing');
     }
   }
 
@@ -94,8 +94,8 @@
    * Its reports come, and what we say does not arrive. Nothing more goes there until it has taken up a new token,
    * which shows that it hears; what was bound there and never seen goes elsewhere, once proven absent.
    */
-  private mute(machine: ShareMachine, why: string): void {
-    log.info({ event: 'machine.mute', machine: machine.id, why });
+  private findDeaf(machine: ShareMachine, why: string): void {
+    log.info({ event: 'machine.deaf', machine: machine.id, why });
     machine.raiseToken = true;
     for (const binding of [...machine.bound.values()]) {
       if (binding.phase._tag !== 'bound') continue;
