--- a/src/constants.ts
+++ b/src/constants.ts
@@ -59,8 +59,9 @@
 /** ms: wait for a lease renewal: several must fit in one lease. */
 export const RENEW_TIMEOUT_MS = 1_000;
 /** ms: how long one watch stays open. A copy of the shared keys is as fresh as the question that was answered last, and
- *  how long a holder may go on in an outage counts from there. */
-export const WATCH_MS = 6_000;
+ *  how long a holder may go on in an outage counts from there, as does how long a copy may be answered from: where nothing
+ *  changes it is up to twice this old. */
+export const WATCH_MS = 4_000;
 /** ms: pause after a failed watch or list before the next. */
 export const STORE_RETRY_MS = 300;
 /** Items: page size of lists; the service's own bound is 1,000. */
@@ -299,7 +300,8 @@
 export const LOOK_MS = 100;
 /** Final records read side by side. */
 export const LOOK_AT_ONCE = 8;
-/** ms: a waiting job's user is answered from this node's copy of the shared keys only if that is this fresh; what the
+/** ms: a waiting job's user is answered from this node's copy of the shared keys only if that is this fresh (more than
+ *  twice a watch); what the
  *  copy may not show of a cancellation stays far below `cancel_s`. */
 export const COPY_FRESH_MS = 10_000;
 /** Fraction of the value size that a record's estimated size may take: escapes and longer names have their room. */
