--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -180,12 +180,12 @@
         const counts = this.input.counts(id, record.spec.team) ?? { done: 0, running: 0 };
         return { status: 200, body: writeStatus(id, counts.running > 0 ? 'running' : 'pending', counts) };
       }
-      return yield* this.callOff(id, record, version);
+      return (yield* this.callOff(id, record, version)) ?? later;
     });
   }
 
-  /** Makes a cancellation durable; what it then says is what is known then. */
-  private callOff(id: string, before: JobRecord, version: number): Effect.Effect<Reply> {
+  /** Makes a cancellation durable; what it then says is what is known then. Null: the record has changed meanwhile. */
+  private callOff(id: string, before: JobRecord, version: number): Effect.Effect<Reply | null> {
     return Effect.gen({ self: this }, function* () {
       const record = { ...before, cancelled: true, cancelledAt: this.input.wall() };
       const result = yield* this.input.store.txn(
@@ -195,7 +195,7 @@
       );
       if (result._tag === 'committed')
         return yield* this.state(id, { _tag: 'active', record, version: result.revision });
-      return later;
+      return result._tag === 'conflict' ? null : later;
     });
   }
 
@@ -293,15 +293,8 @@
       for (let tries = 0; tries < 4; tries += 1) {
         const known = yield* this.look(id);
         if (known._tag !== 'active' || known.record.cancelled) return yield* this.state(id, known);
-        const record = { ...known.record, cancelled: true, cancelledAt: this.input.wall() };
-        const result = yield* this.input.store.txn(
-          [{ key: jobKey(id), version: known.version }],
-          [{ _tag: 'put', key: jobKey(id), value: writeJobRecord(record) }],
-          'user',
-        );
-        if (result._tag === 'committed')
-          return yield* this.state(id, { _tag: 'active', record, version: result.revision });
-        if (result._tag !== 'conflict') return later;
+        const reply = yield* this.callOff(id, known.record, known.version);
+        if (reply !== null) return reply;
       }
       return later;
     });
--- a/src/jobs/follows.test.ts
+++ b/src/jobs/follows.test.ts
@@ -6,34 +6,12 @@
 import type { Readiness } from '../pipelines/graph.js';
 import { Store } from '../store/client.js';
 import { FreshReads } from '../store/fresh.js';
+import { submission } from '../testing/bodies.js';
 import { UsersApi } from './api.js';
 import { writeFinalRecord, writeJobRecord } from './codec.js';
 import type { Catalog, JobRecord, JobSpec } from './model.js';
 
 /** What users are told of jobs that follow others, from what is stored. */
-const body = (over: object): object => ({
-  uid: 'job-9',
-  herd: 'c',
-  owner: 'red',
-  shape: 'sweep',
-  urgency: 'standard',
-  heads: 2,
-  vcpus: 1,
-  accelerators: 0,
-  memoryGb: 1,
-  brand: 'img',
-  sizeGb: 1,
-  breeds: null,
-  paddock: null,
-  together: false,
-  scatter: false,
-  agistment: true,
-  expectedS: 8,
-  musterEveryS: 0,
-  musterS: 0,
-  dueS: null,
-  ...over,
-});
 const catalog: Catalog = new Map([
   [
     'g',
@@ -212,7 +190,12 @@
     const call =
       row.submit === null
         ? { method: 'GET', path: '', query: '', body: { _tag: 'empty' } as const }
-        : { method: 'POST', path: '', query: '', body: { _tag: 'value', value: body(row.submit) } as const };
+        : {
+            method: 'POST',
+            path: '',
+            query: '',
+            body: { _tag: 'value', value: submission(row.submit) } as const,
+          };
     const reply = await Effect.runPromise(api.handle(call, row.submit === null ? ['job-9'] : []));
     assert.equal(reply.status, row.status, JSON.stringify(reply.body));
     if (row.says !== undefined) assert.equal((reply.body as { status: string }).status, row.says);
--- a/src/pipelines/pipelines.ts
+++ b/src/pipelines/pipelines.ts
@@ -27,6 +27,7 @@
   private readonly index = new PipelineIndex(STAGE_EXTRA_MS);
   /** Jobs that are over, and followed by jobs of ours, whose final records are still to be read. */
   private readonly toRead = new Set<string>();
+  private wake: (() => void) | null = null;
   private readonly teams = new Map<string, string>();
 
   constructor(private readonly input: PipelinesInput) {}
@@ -76,10 +77,15 @@
       const final = this.input.finals.get(dep);
       if (final) this.settle(dep, final);
       else if (!this.index.has(dep) && !this.input.mirror.get(jobKey(dep)) && this.input.ours(team))
-        this.toRead.add(dep);
+        this.want(dep);
     }
   }
 
+  private want(id: string): void {
+    this.toRead.add(id);
+    this.wake?.();
+  }
+
   /** A share of this node's is new: all that its jobs wait for is looked up. */
   lookAll(): void {
     for (const id of this.teams.keys()) this.look(id);
@@ -121,9 +127,21 @@
 
   readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
     for (;;) {
-      yield* Effect.sleep(LOOK_MS);
+      if (this.toRead.size === 0)
+        yield* Effect.promise(
+          () =>
+            new Promise<void>((resolve) => {
+              this.wake = resolve;
+              // Something may have come before this fiber got here.
+              if (this.toRead.size > 0) resolve();
+            }),
+        );
+      this.wake = null;
       const ids = [...this.toRead].slice(0, LOOK_AT_ONCE);
       yield* Effect.forEach(ids, (id) => this.read(id), { concurrency: 'unbounded' });
+      // What could not be read goes behind the others.
+      for (const id of ids) if (this.toRead.delete(id)) this.toRead.add(id);
+      yield* Effect.sleep(LOOK_MS);
     }
   });
 }
--- a/src/store/limits.test.ts
+++ b/src/store/limits.test.ts
@@ -12,6 +12,7 @@
 import { Finals } from '../pipelines/finals.js';
 import { partsOf, readRunRecord, storeRun, type RunRecord } from '../placement/records.js';
 import { lasting } from '../settings/limits.js';
+import { submission } from '../testing/bodies.js';
 import { Store, type Item } from './client.js';
 import { FreshReads } from './fresh.js';
 
@@ -159,29 +160,13 @@
     counts: () => null,
     wall: () => 1_700_000_000_000,
   });
-  const body = {
+  const body = submission({
     uid: 'job-999999',
     herd: 'h'.repeat(250),
-    owner: 'red',
-    shape: 'sweep',
-    urgency: 'urgent',
-    heads: 2,
-    vcpus: 1,
-    accelerators: 0,
-    memoryGb: 1,
     brand: 'b'.repeat(250),
-    sizeGb: 1,
-    breeds: null,
-    paddock: null,
-    together: false,
-    scatter: false,
-    agistment: true,
-    expectedS: 8,
-    musterEveryS: 0,
-    musterS: 0,
     dueS: 60,
     follows,
-  };
+  });
   const reply = await Effect.runPromise(
     api.handle({ method: 'POST', path: '', query: '', body: { _tag: 'value', value: body } }, []),
   );
