--- a/src/testing/day.ts
+++ b/src/testing/day.ts
@@ -92,6 +92,19 @@
   private ask(method: string, path: string, body?: unknown): Promise<Answer> {
     return this.world.call('user', NODES[this.luck.below(3)] ?? 'n0', method, path, body, 2_000);
   }
+  /** Asks one node something; what it answers is handed on with the time that it took (ms). */
+  askNode(
+    node: string,
+    method: string,
+    path: string,
+    body: unknown,
+    then: (status: number, said: unknown, tookMs: number) => void,
+  ): void {
+    const from = Date.now();
+    void this.world.call('user', node, method, path, body, 5_000).then((answer) => {
+      if (answer._tag === 'answer') then(answer.status, answer.body, Date.now() - from);
+    });
+  }
   private sleep(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
   }
