--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -11,8 +11,10 @@
 import type { Mirror } from '../store/mirror.js';
 import {
   isJobId,
+  jsonBytes,
   readJobRecord,
   readSubmission,
+  writeCancelledRecord,
   writeJobRecord,
   writeStatus,
   type JobStatus,
@@ -77,8 +79,6 @@
     ? spec
     : { ...spec, types: [...new Set(spec.types)].filter((type) => catalog.has(type)) };
 
-const sizeOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
-
 const later: Reply = {
   status: 503,
   body: { error: 'not able to answer now' },
@@ -190,7 +190,7 @@
       const record = { ...before, cancelled: true, cancelledAt: this.input.wall() };
       const result = yield* this.input.store.txn(
         [{ key: jobKey(id), version }],
-        [{ _tag: 'put', key: jobKey(id), value: writeJobRecord(record) }],
+        [{ _tag: 'put', key: jobKey(id), value: writeCancelledRecord(record, this.input.valueBytes) }],
         'user',
       );
       if (result._tag === 'committed')
@@ -237,12 +237,12 @@
     const put = (key: string, value: unknown): Write => ({ _tag: 'put', key, value });
     const room = this.input.valueBytes * VALUE_FILL;
     const whole = writeJobRecord({ ...plain, follows });
-    if (sizeOf(whole) <= room) return [put(jobKey(spec.id), whole)];
+    if (jsonBytes(whole) <= room) return [put(jobKey(spec.id), whole)];
     const parts = splitIds(follows, room - 64).map((ids, part) =>
       put(followsKey(spec.id, part), packIds(ids)),
     );
     const record = writeJobRecord({ ...plain, parts: parts.length });
-    if (sizeOf(record) > this.input.valueBytes || parts.length + 1 > this.input.store.txnOps) return null;
+    if (jsonBytes(record) > this.input.valueBytes || parts.length + 1 > this.input.store.txnOps) return null;
     return [...parts, put(jobKey(spec.id), record)];
   }
 
--- a/src/jobs/codec.ts
+++ b/src/jobs/codec.ts
@@ -115,6 +115,9 @@
   'deadlineS',
 ] as const satisfies readonly (keyof JobSpec)[];
 
+/** bytes: the size of a value as the state service measures it. */
+export const jsonBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
 export const writeJobRecord = (job: JobRecord): unknown => ({
   s: SPEC_FIELDS.map((field) => job.spec[field]),
   t: job.at,
@@ -124,6 +127,22 @@
   ...(job.parts === 0 ? {} : { p: job.parts }),
 });
 
+/** Stands in a cancelled job's record for a text that was dropped; texts of submissions are never empty. */
+const DROPPED_TEXT = '';
+
+/**
+ * The record of a cancelled job within `bytes`. A job that was accepted under larger limits may not fit as it is; only
+ * placement reads its class, image, machine types and zone, and a cancelled job is never placed again.
+ */
+export const writeCancelledRecord = (job: JobRecord, bytes: number): unknown => {
+  const whole = writeJobRecord(job);
+  if (jsonBytes(whole) <= bytes) return whole;
+  return writeJobRecord({
+    ...job,
+    spec: { ...job.spec, klass: DROPPED_TEXT, image: DROPPED_TEXT, types: [], zone: null },
+  });
+};
+
 export const readJobRecord = (data: unknown): JobRecord => {
   const raw = data as {
     s: unknown[];
--- /dev/null
+++ b/src/layout.test.ts
@@ -0,0 +1,298 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Hold, Need, Spare, Summary } from './fleet/records.js';
+import { readMachineRecord, writeMachineRecord, type MachineRecord } from './fleet/records.js';
+import { readFinalRecord, readJobRecord, writeFinalRecord, writeJobRecord } from './jobs/codec.js';
+import type { JobRecord, JobSpec } from './jobs/model.js';
+import type { Beat } from './mesh/mesh.js';
+import { prepared, readRunRecord, storeRun, validating, type RunRecord } from './placement/records.js';
+import { compose } from './service.js';
+import * as keys from './store/keys.js';
+import { settingsOf } from './testing/cluster.js';
+
+/**
+ * Recorded fixtures of what earlier versions store and send: 79bc3b2, the last without pipelines, and 55b30b1, the first
+ * released with them. Records and messages outlive the code that wrote them, so a change of names in the code must not
+ * change a byte here. A layout that has to change gets a new fixture beside the old one, never in its place.
+ */
+const spec: JobSpec = {
+  id: 'job-000412',
+  klass: 'train',
+  team: 'red',
+  kind: 'gang',
+  priority: 2,
+  tasks: 300,
+  cpus: 8,
+  gpus: 1,
+  memoryGb: 64,
+  types: ['g8'],
+  zone: null,
+  oneZone: true,
+  spread: false,
+  spot: true,
+  image: 'img',
+  imageGb: 6.2,
+  estimateS: 240,
+  checkpointS: 30,
+  saveS: 4,
+  deadlineS: 900,
+};
+const SPEC =
+  '["job-000412","train","red","gang",2,300,8,1,64,["g8"],null,true,false,true,"img",6.2,240,30,4,900]';
+const job: JobRecord = { spec, at: 17, cancelled: false, cancelledAt: null, follows: [], parts: 0 };
+
+const run: RunRecord = {
+  done: [128, 200],
+  bindings: [
+    { index: 130, machine: 'i-000001', attempt: 7 },
+    { index: 131, machine: 'i-000001', attempt: 7 },
+    { index: 140, machine: 'i-000002', attempt: 8 },
+  ],
+  attempt: 8,
+};
+const RUN = '"d":"1000000000000000001","b":[[130,"i-000001",7],[131,"i-000001",7],[140,"i-000002",8]],"n":8';
+const readRun = (data: unknown): RunRecord => readRunRecord(data, 1);
+
+const machine: MachineRecord = {
+  share: 1,
+  type: 'g',
+  zone: 'x',
+  spot: true,
+  at: 5,
+  releasing: true,
+  addr: '10.1.0.1:9000',
+  session: 3,
+};
+
+interface Fixture {
+  readonly name: string;
+  readonly version: '79bc3b2' | '55b30b1';
+  readonly text: string;
+  readonly read: (data: unknown) => unknown;
+  readonly means: unknown;
+  /** Null: this version reads it, and writes another layout. */
+  readonly written: unknown;
+}
+const fixtures: readonly Fixture[] = [
+  {
+    name: 'a job',
+    version: '79bc3b2',
+    text: `{"s":${SPEC},"t":17,"c":false}`,
+    read: readJobRecord,
+    means: job,
+    written: writeJobRecord(job),
+  },
+  {
+    name: 'a cancelled job, without its moment',
+    version: '79bc3b2',
+    text: `{"s":${SPEC},"t":17,"c":true}`,
+    read: readJobRecord,
+    means: { ...job, cancelled: true },
+    written: null,
+  },
+  {
+    name: 'a cancelled job that follows others',
+    version: '55b30b1',
+    text: `{"s":${SPEC},"t":17,"c":true,"x":40,"f":["6:b2.7"]}`,
+    read: readJobRecord,
+    means: { ...job, cancelled: true, cancelledAt: 40, follows: ['job-000398', 'job-000405'] },
+    written: writeJobRecord({
+      ...job,
+      cancelled: true,
+      cancelledAt: 40,
+      follows: ['job-000398', 'job-000405'],
+    }),
+  },
+  {
+    name: 'a job whose list of followed jobs stands in parts',
+    version: '55b30b1',
+    text: `{"s":${SPEC},"t":17,"c":false,"p":2}`,
+    read: readJobRecord,
+    means: { ...job, parts: 2 },
+    written: writeJobRecord({ ...job, parts: 2 }),
+  },
+  {
+    name: 'a final record',
+    version: '79bc3b2',
+    text: '{"s":"done","t":9,"n":3}',
+    read: readFinalRecord,
+    means: { state: 'done', at: 9, tasks: 3 },
+    written: writeFinalRecord({ state: 'done', at: 9, tasks: 3 }),
+  },
+  {
+    name: 'a run',
+    version: '79bc3b2',
+    text: `{${RUN}}`,
+    read: readRun,
+    means: run,
+    written: storeRun(run, 1, 1e4, true).record,
+  },
+  {
+    name: 'a run that is prepared',
+    version: '55b30b1',
+    text: `{${RUN},"q":1}`,
+    read: readRun,
+    means: run,
+    written: prepared(storeRun(run, 1, 1e4, true)).record,
+  },
+  {
+    name: 'a run that makes its attempt valid',
+    version: '55b30b1',
+    text: `{${RUN},"v":8}`,
+    read: readRun,
+    means: run,
+    written: validating(storeRun(run, 1, 1e4, true), 8).record,
+  },
+  {
+    name: 'a machine',
+    version: '79bc3b2',
+    text: '{"s":1,"b":"g","z":"x","p":true,"t":5,"r":true,"a":"10.1.0.1:9000","n":3}',
+    read: readMachineRecord,
+    means: machine,
+    written: writeMachineRecord(machine),
+  },
+  {
+    name: 'a machine that was never heard',
+    version: '79bc3b2',
+    text: '{"s":1,"b":"g","z":"x","p":false,"t":5,"r":false}',
+    read: readMachineRecord,
+    means: { ...machine, spot: false, releasing: false, addr: '', session: 0 },
+    written: writeMachineRecord({ ...machine, spot: false, releasing: false, addr: '', session: 0 }),
+  },
+];
+for (const { name, version, text, read, means, written } of fixtures) {
+  test(`layout: ${name}, as ${version} stored it`, () => {
+    assert.deepEqual(read(JSON.parse(text)), means);
+    if (written !== null) assert.equal(JSON.stringify(written), text);
+  });
+}
+
+test('layout: a run in parts, as 55b30b1 stored it', () => {
+  const wide: RunRecord = {
+    ...run,
+    bindings: [
+      ...Array.from({ length: 6 }, (_, k) => ({ index: 130 + k, machine: 'i-000001', attempt: 7 })),
+      ...Array.from({ length: 4 }, (_, k) => ({ index: 140 + k, machine: `i-00000${k + 2}`, attempt: 8 })),
+    ],
+  };
+  const record = '{"d":"1000000000000000001","b":[[130,"i-000001",7,6],[140,"i-000002",8]],"n":8,"p":2}';
+  const parts = ['{"b":[[141,"i-000003",8],[142,"i-000004",8]]}', '{"b":[[143,"i-000005",8]]}'];
+  assert.deepEqual(
+    readRunRecord(
+      JSON.parse(record),
+      1,
+      parts.map((part): unknown => JSON.parse(part)),
+    ),
+    wide,
+  );
+  const stored = storeRun(wide, 1, 150, true);
+  assert.equal(JSON.stringify(stored.record), record);
+  assert.deepEqual(
+    stored.parts.map((part) => JSON.stringify(part)),
+    parts,
+  );
+});
+
+test('layout: keys are those of 79bc3b2, and of 55b30b1 where that is new', () => {
+  assert.deepEqual(
+    [
+      keys.SHARED,
+      keys.claimKey('2'),
+      keys.machineKey('i-1'),
+      keys.jobKey('job-1'),
+      keys.summaryKey(2),
+      keys.ordersKey(2),
+      keys.CATALOG_KEY,
+      keys.runsPrefix(2),
+      keys.runKey(2, 'job-1', 3),
+      keys.finalKey('job-1'),
+      keys.followsKey('job-1', 4),
+      keys.markKey('2'),
+      keys.LEVEL_KEY,
+      keys.catalogPartKey(4),
+      keys.runPartKey(2, 'job-1', 3, 4),
+    ],
+    [
+      'w/',
+      'w/c/2',
+      'w/m/i-1',
+      'w/j/job-1',
+      'w/s/2',
+      'w/o/2',
+      'w/catalog',
+      'r/2/',
+      'r/2/job-1/3',
+      'f/job-1',
+      'w/d/job-1/4',
+      'w/k/2',
+      'w/level',
+      'w/catalog/4',
+      'r/2/job-1/3+4',
+    ],
+  );
+});
+
+/** What nodes send each other: field names are the wire, so the compiler and these lists hold them. */
+const need = {
+  cpus: 1,
+  gpus: 1,
+  memoryGb: 1,
+  types: null,
+  zone: null,
+  spot: false,
+  gang: true,
+  oneZone: true,
+  urgent: false,
+  priority: 1,
+  tasks: 2,
+  gangs: [{ job: 'job-1', tasks: 2, waitedMs: 5, patienceMs: 9 }],
+  room: { x: 1 },
+  waitedMs: 5,
+} satisfies Need;
+const spare = { id: 'i-1', type: 'g', zone: 'x', spot: false, idleS: 3 } satisfies Spare;
+const summary = { share: 1, claim: 7, revision: 9, needs: [need], spares: [spare] } satisfies Summary;
+const hold = {
+  share: 1,
+  job: 'job-1',
+  zone: 'x',
+  spot: false,
+  types: null,
+  cpus: 1,
+  gpus: 1,
+  memoryGb: 1,
+  tasks: 2,
+  priority: 1,
+  ageMs: 4,
+} satisfies Hold;
+const earlierBeat = {
+  from: 'n1',
+  incarnation: 'n1.1',
+  lease: 3,
+  stateAgeMs: 20,
+  summaries: [summary],
+  counts: [{ slot: 1, jobs: [['job-1', 2, 1]] }],
+  deaf: false,
+  strays: { '0': 2 },
+  demand: { requests: 1, changes: 2 },
+  holds: [hold],
+} satisfies Beat;
+
+test('layout: a beat of 79bc3b2 is answered with one that has all its fields', async () => {
+  const controller = compose(settingsOf('n0', new Map([['red', 8]])), {
+    now: () => 1_000,
+    wall: () => 1_000,
+    incarnation: 'n0.1',
+    callers: () => ({ request: () => Promise.resolve({ _tag: 'silence', why: 'none' }) }),
+    line: { send: () => Promise.resolve({ _tag: 'unsure' }) },
+  });
+  const reply = await controller.mesh({
+    method: 'POST',
+    path: '/beat',
+    query: '',
+    body: { _tag: 'value', value: JSON.parse(JSON.stringify(earlierBeat)) as unknown },
+  });
+  controller.stop();
+  const { level, ...fields } = reply.body as Record<string, unknown>;
+  assert.deepEqual(Object.keys(fields).sort(), Object.keys(earlierBeat).sort());
+  assert.equal(typeof level, 'number', 'an earlier version does not read it');
+});
--- a/src/store/limits.test.ts
+++ b/src/store/limits.test.ts
@@ -5,8 +5,8 @@
 import { readStored, storeCatalog } from '../fleet/catalog.js';
 import type { Answer } from '../http.js';
 import { UsersApi } from '../jobs/api.js';
-import { readJobRecord } from '../jobs/codec.js';
-import type { MachineType } from '../jobs/model.js';
+import { readJobRecord, writeCancelledRecord, writeJobRecord } from '../jobs/codec.js';
+import type { JobRecord, JobSpec, MachineType } from '../jobs/model.js';
 import { Detour } from '../mesh/detour.js';
 import { unpackIds } from '../pipelines/codec.js';
 import { Finals } from '../pipelines/finals.js';
@@ -122,6 +122,56 @@
   });
 }
 
+const cancelled = (texts: string, types: readonly string[] | null): JobRecord => ({
+  spec: {
+    id: 'job-000001',
+    klass: texts,
+    team: 'red',
+    kind: 'gang',
+    priority: 2,
+    tasks: 16,
+    cpus: 8,
+    gpus: 1,
+    memoryGb: 64,
+    types,
+    zone: 'hobart-north',
+    oneZone: true,
+    spread: false,
+    spot: true,
+    image: texts,
+    imageGb: 6.2,
+    estimateS: 240,
+    checkpointS: 30,
+    saveS: 4,
+    deadlineS: 900,
+  } satisfies JobSpec,
+  at: 1_700_000_000_000,
+  cancelled: true,
+  cancelledAt: 1_700_000_060_000,
+  follows: ['job-000007'],
+  parts: 0,
+});
+
+const usersApi = (store: Store, copy: (key: string) => Item | undefined = () => undefined): UsersApi => {
+  const catalog = new Map(types(1).map((type) => [type.name, type]));
+  return new UsersApi({
+    store,
+    fresh: new FreshReads(store),
+    finals: new Finals(store),
+    pipelines: { readiness: () => ({ _tag: 'waiting' }), resolve: () => Effect.succeed(true) },
+    takesPipelines: () => true,
+    valueBytes: BYTES,
+    copyAgeMs: () => 0,
+    assured: () => Effect.succeed(true),
+    mirror: { get: copy },
+    catalog: () => catalog,
+    zones: ['a'],
+    limits: new Map([['red', { cpusMax: 0, gpusMax: 8 }]]),
+    counts: () => null,
+    wall: () => 1_700_000_000_000,
+  });
+};
+
 /** A state service that keeps nothing but notes what it is asked to write. */
 const noting = () => {
   const writes: { write?: string; remove?: string; data?: unknown }[][] = [];
@@ -140,26 +190,46 @@
   return { store, writes };
 };
 
+test('limits: a job whose record outgrew the limits is cancelled in a record that fits', async () => {
+  const stored = writeJobRecord({
+    ...cancelled('\u0001'.repeat(256), null),
+    cancelled: false,
+    cancelledAt: null,
+  });
+  assert.ok(bytesOf(stored) > BYTES);
+  const writes: { data: unknown }[] = [];
+  const store = new Store(
+    { host: 'h', port: 1 },
+    { rps: 1e6, write_rps: 1e6, txn_ops: OPS, nodes: 1 },
+    () => 0,
+    () => ({
+      request: (_, path, body): Promise<Answer> => {
+        const answer = (status: number, value: unknown): Promise<Answer> =>
+          Promise.resolve({ _tag: 'answer', status, body: value });
+        if (path === '/store/w/j/job-000001')
+          return answer(200, { path: 'w/j/job-000001', data: stored, brandMark: 3 });
+        if (path !== '/txn') return answer(404, { epoch: 1 });
+        const sent = (body as { writes: { data: unknown }[] }).writes;
+        if (sent.some((write) => bytesOf(write.data) > BYTES))
+          return answer(400, { error: 'value too large' });
+        writes.push(...sent);
+        return answer(200, { epoch: 9 });
+      },
+    }),
+  );
+  const api = usersApi(store);
+  const reply = await Effect.runPromise(
+    api.handle({ method: 'POST', path: '', query: '', body: { _tag: 'empty' } }, ['job-000001', 'abort']),
+  );
+  assert.equal(reply.status, 200);
+  assert.equal((reply.body as { status: string }).status, 'withdrawn');
+  assert.equal(readJobRecord(writes[0]?.data).cancelled, true);
+});
+
 test('limits: the longest list of followed jobs that a submission can hold', async () => {
   const { store, writes } = noting();
   const follows = Array.from({ length: 4_000 }, (_, k) => `job-${String(k * 211).padStart(6, '0')}`);
-  const catalog = new Map(types(1).map((type) => [type.name, type]));
-  const api = new UsersApi({
-    store,
-    fresh: new FreshReads(store),
-    finals: new Finals(store),
-    pipelines: { readiness: () => ({ _tag: 'waiting' }), resolve: () => Effect.succeed(true) },
-    takesPipelines: () => true,
-    valueBytes: BYTES,
-    copyAgeMs: () => 0,
-    assured: () => Effect.succeed(true),
-    mirror: { get: (key) => ({ key, value: null, version: 1 }) },
-    catalog: () => catalog,
-    zones: ['a'],
-    limits: new Map([['red', { cpusMax: 0, gpusMax: 8 }]]),
-    counts: () => null,
-    wall: () => 1_700_000_000_000,
-  });
+  const api = usersApi(store, (key) => ({ key, value: null, version: 1 }));
   const body = submission({
     uid: 'job-999999',
     herd: 'h'.repeat(250),
@@ -186,6 +256,43 @@
   );
 });
 
+const cancellations: readonly { name: string; record: JobRecord; kept: boolean }[] = [
+  { name: 'an ordinary record is kept whole', record: cancelled('train', ['g8']), kept: true },
+  {
+    name: 'types that an earlier version took',
+    record: cancelled(
+      'train',
+      Array.from({ length: 90 }, (_, k) => `type-with-a-long-name-${k}`),
+    ),
+    kept: false,
+  },
+  // Such a job could run, and its cancellation was answered 503 for ever: the state service refused the record.
+  {
+    name: 'texts that an earlier version took, each character six when written',
+    record: cancelled('\u0001'.repeat(256), null),
+    kept: false,
+  },
+];
+for (const { name, record, kept } of cancellations) {
+  test(`limits: the record of a cancelled job, ${name}`, () => {
+    assert.equal(bytesOf(writeJobRecord(record)) <= BYTES, kept, 'the row is what its name says');
+    const written = writeCancelledRecord(record, BYTES);
+    assert.ok(bytesOf(written) <= BYTES, `${bytesOf(written)} B`);
+    const read = readJobRecord(JSON.parse(JSON.stringify(written)));
+    if (kept) assert.deepEqual(read, record);
+    // What stopping its tasks, counting them and answering its user needs.
+    const { spec } = read;
+    assert.deepEqual(
+      [spec.id, spec.team, spec.kind, spec.tasks, spec.cpus, spec.gpus, spec.memoryGb, spec.saveS],
+      ['job-000001', 'red', 'gang', 16, 8, 1, 64, 4],
+    );
+    assert.deepEqual(
+      [read.cancelled, read.cancelledAt, read.at, read.follows],
+      [true, record.cancelledAt, record.at, record.follows],
+    );
+  });
+}
+
 test('limits: orders and summaries that go through the state service', async () => {
   const { store, writes } = noting();
   const detour = new Detour({
