--- a/src/layout.test.ts
+++ b/src/layout.test.ts
@@ -277,6 +277,17 @@
   holds: [hold],
 } satisfies Beat;
 
+const BEAT =
+  '{"from":"n1","incarnation":"n1.1","lease":3,"stateAgeMs":20,"summaries":[{"share":1,"claim":7,"revision":9,' +
+  '"needs":[{"cpus":1,"gpus":1,"memoryGb":1,"types":null,"zone":null,"spot":false,"gang":true,"oneZone":true,' +
+  '"urgent":false,"priority":1,"tasks":2,"gangs":[{"job":"job-1","tasks":2,"waitedMs":5,"patienceMs":9}],' +
+  '"room":{"x":1},"waitedMs":5}],"spares":[{"id":"i-1","type":"g","zone":"x","spot":false,"idleS":3}]}],' +
+  '"counts":[{"slot":1,"jobs":[["job-1",2,1]]}],"deaf":false,"strays":{"0":2},' +
+  '"demand":{"requests":1,"changes":2},"holds":[{"share":1,"job":"job-1","zone":"x","spot":false,"types":null,' +
+  '"cpus":1,"gpus":1,"memoryGb":1,"tasks":2,"priority":1,"ageMs":4}]}';
+test('layout: the fields of a beat are those of 79bc3b2', () =>
+  assert.equal(JSON.stringify(earlierBeat), BEAT));
+
 test('layout: a beat of 79bc3b2 is answered with one that has all its fields', async () => {
   const controller = compose(settingsOf('n0', new Map([['red', 8]])), {
     now: () => 1_000,
@@ -289,7 +300,7 @@
     method: 'POST',
     path: '/beat',
     query: '',
-    body: { _tag: 'value', value: JSON.parse(JSON.stringify(earlierBeat)) as unknown },
+    body: { _tag: 'value', value: JSON.parse(BEAT) as unknown },
   });
   controller.stop();
   const { level, ...fields } = reply.body as Record<string, unknown>;
