--- a/src/cancellation/assurance.ts
+++ b/src/cancellation/acknowledgement.ts
@@ -1,13 +1,13 @@
 import * as Effect from 'effect/Effect';
 import { Batcher } from '../batch.js';
-import { HEED_BATCH_MS, HEED_MOST } from '../constants.js';
+import { ACKNOWLEDGEMENT_BATCH_MS, ACKNOWLEDGEMENT_BATCH_MAX } from '../constants.js';
 import type { Summary } from '../fleet/records.js';
 import type { Store } from '../store/client.js';
-import type { FreshReads } from '../store/fresh.js';
+import type { LinearizableReads } from '../store/linearizable-reads.js';
 import { claimKey, markKey } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
-import { assure, type FreshClaim } from './evidence.js';
-import { readMark } from './mark.js';
+import type { WatchCache } from '../store/watch-cache.js';
+import { assessEvidence, type FreshClaim } from './evidence.js';
+import { readAcknowledgement } from './durable-acknowledgement.js';
 
 /** A durable cancellation, as it is put to the holder of the job's share. */
 export interface Cancellation {
@@ -19,22 +19,22 @@
   readonly version: number;
 }
 
-export interface AssuranceInput {
+export interface CancellationAcknowledgementInput {
   readonly me: string;
   readonly store: Store;
-  readonly fresh: FreshReads;
-  readonly mirror: Pick<Mirror, 'get'>;
+  readonly fresh: LinearizableReads;
+  readonly cache: Pick<WatchCache, 'get'>;
   /** Puts cancellations to the share held by this process under that claim; false: it does not hold it. */
-  readonly heed: (cancellation: Cancellation) => boolean;
+  readonly acknowledge: (cancellation: Cancellation) => boolean;
   readonly ask: (node: string, path: string, body: unknown) => Promise<unknown>;
   readonly summaries: () => readonly Summary[];
   readonly understands: (node: string) => boolean;
 }
 
 /** The messages between nodes. */
-const writeHeed = (list: readonly Cancellation[]): unknown =>
+const writeAcknowledgeRequest = (list: readonly Cancellation[]): unknown =>
   list.map(({ slot, claim, job, version }) => [slot, claim, job, version]);
-export const readHeed = (body: unknown): readonly Cancellation[] =>
+export const readAcknowledgeRequest = (body: unknown): readonly Cancellation[] =>
   (Array.isArray(body) ? (body as unknown[]) : []).flatMap((row) => {
     if (!Array.isArray(row)) return [];
     const [slot, claim, job, version] = row as unknown[];
@@ -45,21 +45,21 @@
       ? [{ slot, claim, job, version }]
       : [];
   });
-const readHeeded = (body: unknown, count: number): readonly boolean[] => {
+const readAcknowledgeReply = (body: unknown, count: number): readonly boolean[] => {
   const { heeded } = (body ?? {}) as { heeded?: unknown };
   return Array.from({ length: count }, (_, index) => Array.isArray(heeded) && heeded[index] === true);
 };
 
 /** Finds out whether a cancellation may be told: reads the claim freshly and asks its holder. */
-export class Assurance {
+export class CancellationAcknowledgement {
   private readonly askers = new Map<string, Batcher<Cancellation, boolean>>();
-  constructor(private readonly input: AssuranceInput) {}
+  constructor(private readonly input: CancellationAcknowledgementInput) {}
 
   private asker(node: string): Batcher<Cancellation, boolean> {
     let asker = this.askers.get(node);
     if (!asker) {
-      asker = new Batcher(HEED_BATCH_MS, HEED_MOST, async (list) =>
-        readHeeded(await this.input.ask(node, '/heed', writeHeed(list)), list.length),
+      asker = new Batcher(ACKNOWLEDGEMENT_BATCH_MS, ACKNOWLEDGEMENT_BATCH_MAX, async (list) =>
+        readAcknowledgeReply(await this.input.ask(node, '/heed', writeAcknowledgeRequest(list)), list.length),
       );
       this.askers.set(node, asker);
     }
@@ -71,7 +71,7 @@
   private claim(slot: number): Effect.Effect<FreshClaim> {
     return Effect.gen({ self: this }, function* () {
       const key = claimKey(String(slot));
-      const copy = this.input.mirror.get(key);
+      const copy = this.input.cache.get(key);
       if (copy) {
         const freshness = yield* this.input.fresh.confirm(key, copy.version);
         if (freshness === 'failed') return { _tag: 'unsure' } as const;
@@ -95,22 +95,22 @@
     return Effect.gen({ self: this }, function* () {
       const claim = yield* this.claim(slot);
       const signs = { acknowledged: null, summary: null, mark: null, understands: false };
-      if (claim._tag !== 'held') return assure(version, claim, signs)._tag === 'assured';
+      if (claim._tag !== 'held') return assessEvidence(version, claim, signs)._tag === 'assured';
       const cancellation = { slot, claim: claim.version, job, version };
-      const mark = this.input.mirror.get(markKey(String(slot)));
+      const mark = this.input.cache.get(markKey(String(slot)));
       const known = {
         acknowledged: null,
         summary: this.input.summaries().find((summary) => summary.share === slot) ?? null,
-        mark: mark ? readMark(mark.value) : null,
+        mark: mark ? readAcknowledgement(mark.value) : null,
         understands: this.input.understands(claim.node),
       };
-      if (assure(version, claim, known)._tag === 'assured') return true;
+      if (assessEvidence(version, claim, known)._tag === 'assured') return true;
       const heeded =
         claim.node === this.input.me
-          ? this.input.heed(cancellation)
+          ? this.input.acknowledge(cancellation)
           : yield* Effect.promise(() => this.asker(claim.node).ask(cancellation));
       const acknowledged = heeded ? { claim: claim.version } : null;
-      return assure(version, claim, { ...known, acknowledged })._tag === 'assured';
+      return assessEvidence(version, claim, { ...known, acknowledged })._tag === 'assured';
     });
   }
 }
--- a/src/cancellation/mark.ts
+++ b/src/cancellation/durable-acknowledgement.ts
@@ -1,23 +1,26 @@
 import * as Effect from 'effect/Effect';
-import { MARK_MS } from '../constants.js';
+import { DURABLE_ACKNOWLEDGEMENT_MS } from '../constants.js';
 import type { Store } from '../store/client.js';
 import { claimKey, markKey } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
+import type { WatchCache } from '../store/watch-cache.js';
 
 /** A holder's durable word: under this claim it has seen the shared keys up to this revision. */
-export interface Mark {
+export interface DurableAcknowledgement {
   readonly claim: number;
   readonly revision: number;
 }
-export const writeMark = (mark: Mark): unknown => ({ c: mark.claim, r: mark.revision });
-export const readMark = (value: unknown): Mark => {
+export const writeAcknowledgement = (mark: DurableAcknowledgement): unknown => ({
+  c: mark.claim,
+  r: mark.revision,
+});
+export const readAcknowledgement = (value: unknown): DurableAcknowledgement => {
   const raw = value as { c: number; r: number };
   return { claim: raw.c, revision: raw.r };
 };
 
-export interface MarksInput {
+export interface DurableAcknowledgementsInput {
   readonly store: Store;
-  readonly mirror: Pick<Mirror, 'get' | 'revision'>;
+  readonly cache: Pick<WatchCache, 'get' | 'revision'>;
   /** Shares held here whose book is loaded, with their claims. */
   readonly held: () => readonly { readonly slot: number; readonly claim: number }[];
   /** Every other node is heard, so each can ask. */
@@ -25,10 +28,10 @@
 }
 
 /** Where connections between nodes are refused, holders say through the state service that they have seen cancellations. */
-export class Marks {
+export class DurableAcknowledgements {
   /** Revision of the last cancellation seen of each share, until it is marked. */
   private readonly wanted = new Map<number, number>();
-  constructor(private readonly input: MarksInput) {}
+  constructor(private readonly input: DurableAcknowledgementsInput) {}
 
   /** The shared keys show that a job of the share is cancelled. */
   saw(slot: number, version: number): void {
@@ -38,15 +41,15 @@
   private mark(slot: number, claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const key = markKey(String(slot));
-      const before = this.input.mirror.get(key);
-      const { revision } = this.input.mirror;
+      const before = this.input.cache.get(key);
+      const { revision } = this.input.cache;
       const result = yield* this.input.store.txn(
         // Conditional on itself too: a late copy must not take back what a newer one says.
         [
           { key: claimKey(String(slot)), version: claim },
           { key, version: before?.version ?? 0 },
         ],
-        [{ _tag: 'put', key, value: writeMark({ claim, revision }) }],
+        [{ _tag: 'put', key, value: writeAcknowledgement({ claim, revision }) }],
         'user',
       );
       if (result._tag === 'committed' && (this.wanted.get(slot) ?? 0) <= revision) this.wanted.delete(slot);
@@ -55,7 +58,7 @@
 
   readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
     for (;;) {
-      yield* Effect.sleep(MARK_MS);
+      yield* Effect.sleep(DURABLE_ACKNOWLEDGEMENT_MS);
       const held = this.input.held();
       for (const slot of this.wanted.keys())
         if (!held.some((share) => share.slot === slot)) this.wanted.delete(slot);
--- a/src/cancellation/evidence.test.ts
+++ b/src/cancellation/evidence.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { readHeed } from './assurance.js';
-import { assure, rideUntil, type FreshClaim, type Signs } from './evidence.js';
+import { readAcknowledgeRequest } from './acknowledgement.js';
+import { assessEvidence, outageGraceUntil, type FreshClaim, type Signs } from './evidence.js';
 
 /** When a cancellation that is durable at revision 100 may be told. */
 const none: Signs = { acknowledged: null, summary: null, mark: null, understands: true };
@@ -63,7 +63,7 @@
 ];
 for (const row of rows) {
   test(`assurance: ${row.name}`, () => {
-    const assured = assure(100, row.claim, row.signs);
+    const assured = assessEvidence(100, row.claim, row.signs);
     assert.equal(assured._tag === 'assured' ? assured.by : null, row.by);
   });
 }
@@ -87,14 +87,14 @@
 for (const row of rides) {
   test(`riding: ${row.name}`, () =>
     assert.equal(
-      rideUntil({ ...row, freshAt: 1_000, cancelMs: 44_000, leaseMs: 24_000, marginMs: 5_000 }),
+      outageGraceUntil({ ...row, freshAt: 1_000, cancelMs: 44_000, leaseMs: 24_000, marginMs: 5_000 }),
       row.until,
     ));
 }
 
 test('assurance: what siblings send is checked', () => {
-  assert.deepEqual(readHeed([[1, 50, 'job-1', 100], [1, 'x', 'job-1', 100], 7, null]), [
+  assert.deepEqual(readAcknowledgeRequest([[1, 50, 'job-1', 100], [1, 'x', 'job-1', 100], 7, null]), [
     { slot: 1, claim: 50, job: 'job-1', version: 100 },
   ]);
-  assert.deepEqual(readHeed(null), []);
+  assert.deepEqual(readAcknowledgeRequest(null), []);
 });
--- a/src/cancellation/evidence.ts
+++ b/src/cancellation/evidence.ts
@@ -29,7 +29,7 @@
 const open: Assured = { _tag: 'open' };
 
 /** `cancelled`: the revision at which the cancellation became durable. */
-export const assure = (cancelled: number, claim: FreshClaim, signs: Signs): Assured => {
+export const assessEvidence = (cancelled: number, claim: FreshClaim, signs: Signs): Assured => {
   switch (claim._tag) {
     case 'unsure':
       return open;
@@ -54,7 +54,7 @@
  * `freshAt` it knows. What it doesn't know was told later, and a worker that it answered last by then lets go of its
  * tasks a lease after that, which is still in time.
  */
-export const rideUntil = (outage: {
+export const outageGraceUntil = (outage: {
   /** The state service is down as far as most nodes say. */
   readonly confirmed: boolean;
   /** Every node says so, and each is known to tell only what the holder has acknowledged. */
--- a/src/claims/decide.ts
+++ b/src/claims/decide.ts
@@ -1,4 +1,4 @@
-import { CLAIM_COURTESY_MS, HANDBACK_STABLE_MS } from '../constants.js';
+import { CLAIM_GRACE_MS, HANDBACK_STABLE_MS } from '../constants.js';
 
 /** Which claims to take or hand back. Plain data in, plain data out. */
 export const LEADER = 'L';
@@ -11,7 +11,7 @@
 export interface SeenClaim extends Claim {
   readonly version: number;
 }
-export interface Sibling {
+export interface Peer {
   readonly node: string;
   readonly incarnation: string;
   readonly lease: number | null;
@@ -28,7 +28,7 @@
   readonly claims: ReadonlyMap<string, SeenClaim>;
   /** When each slot without a claim was first seen without (ms). */
   readonly freeSince: ReadonlyMap<string, number>;
-  readonly siblings: readonly Sibling[];
+  readonly peers: readonly Peer[];
   /** Shares of ours whose workers reach another node but not us: by slot, that node. */
   readonly unheard: ReadonlyMap<string, string>;
   /** Workers lately could not reach this node: it leaves shares to others as long as they take them. */
@@ -37,7 +37,7 @@
 }
 export type ClaimAction =
   | { readonly _tag: 'take'; readonly slot: string; readonly version: number }
-  | { readonly _tag: 'hand'; readonly slot: string; readonly version: number; readonly to: Sibling };
+  | { readonly _tag: 'hand'; readonly slot: string; readonly version: number; readonly to: Peer };
 
 const preferred = (view: ClaimsView, slot: string): string | undefined =>
   slot === LEADER ? undefined : view.nodes[Number(slot) % view.nodes.length];
@@ -64,13 +64,13 @@
         ? rank * 250
         : preferred(view, slot) === view.me.node
           ? 0
-          : CLAIM_COURTESY_MS + held(view.me.node) * 500 + rank * 150;
+          : CLAIM_GRACE_MS + held(view.me.node) * 500 + rank * 150;
     if (waited >= patience) actions.push({ _tag: 'take', slot, version: 0 });
   }
 
   for (const [slot, node] of view.unheard) {
     const claim = view.claims.get(slot);
-    const to = view.siblings.find((sibling) => sibling.node === node);
+    const to = view.peers.find((sibling) => sibling.node === node);
     if (claim && mine(claim) && to?.stateOk && to.lease !== null && to.steadyMs >= 0) {
       actions.push({ _tag: 'hand', slot, version: claim.version, to });
     }
@@ -84,7 +84,7 @@
       const owner = preferred(view, slot);
       if (!claim || !mine(claim) || owner === undefined || owner === view.me.node || held(owner) > 0)
         continue;
-      const to = view.siblings.find((sibling) => sibling.node === owner);
+      const to = view.peers.find((sibling) => sibling.node === owner);
       if (to && !to.deaf && to.stateOk && to.lease !== null && to.steadyMs >= HANDBACK_STABLE_MS) {
         actions.push({ _tag: 'hand', slot, version: claim.version, to });
         break;
--- a/src/claims/keeper.ts
+++ b/src/claims/lease-manager.ts
@@ -1,26 +1,26 @@
 import * as Effect from 'effect/Effect';
-import { CLAIM_RENEW_MS, CLAIM_TICK_MS, CLAIM_TTL_MS, DEAF_PAUSE_MS } from '../constants.js';
+import { CLAIM_RENEW_MS, CLAIM_TICK_MS, CLAIM_TTL_MS, UNREACHABLE_PAUSE_MS } from '../constants.js';
 import { log } from '../log.js';
 import type { Store } from '../store/client.js';
 import { claimKey } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
-import { decideClaims, LEADER, type Claim, type SeenClaim, type Sibling } from './decide.js';
-import { mayAct, nextTenure, type Tenure, type TenureEvent } from './tenure.js';
+import type { WatchCache } from '../store/watch-cache.js';
+import { decideClaims, LEADER, type Claim, type SeenClaim, type Peer } from './decide.js';
+import { mayAct, nextLeaseState, type LeaseState, type LeaseEvent } from './lease-state.js';
 
-export interface KeeperInput {
+export interface LeaseManagerInput {
   readonly me: Claim;
   readonly nodes: readonly string[];
   readonly slotCount: number;
-  readonly siblings: () => readonly Sibling[];
+  readonly peers: () => readonly Peer[];
   /** Until when workers may be answered without renewals (ms, steady); null: there is no outage. */
-  readonly rideUntil: () => number | null;
+  readonly outageGraceUntil: () => number | null;
   readonly unheard: () => ReadonlyMap<string, string>;
   readonly now: () => number;
 }
 
 /** Keeps this node's lease and claims, and knows who holds what. */
-export class Keeper {
-  tenure: Tenure = { _tag: 'detached' };
+export class LeaseManager {
+  leaseState: LeaseState = { _tag: 'detached' };
   readonly slots: readonly string[];
   private readonly freeSince = new Map<string, number>();
 
@@ -32,20 +32,20 @@
 
   constructor(
     private readonly store: Store,
-    private readonly mirror: Mirror,
-    private readonly input: KeeperInput,
+    private readonly cache: WatchCache,
+    private readonly input: LeaseManagerInput,
   ) {
     this.slots = [...Array.from({ length: input.slotCount }, (_, slot) => String(slot)), LEADER];
   }
 
   claim(slot: string): SeenClaim | undefined {
-    const item = this.mirror.get(claimKey(slot));
+    const item = this.cache.get(claimKey(slot));
     if (!item) return undefined;
     const raw = item.value as { n: string; i: string };
     return { node: raw.n, incarnation: raw.i, version: item.version };
   }
 
-  /** The revision of this process's claim on the slot, or null when the mirror shows another or none. */
+  /** The revision of this process's claim on the slot, or null when the cache shows another or none. */
   mine(slot: string): number | null {
     const claim = this.claim(slot);
     if (!claim || claim.node !== this.input.me.node || claim.incarnation !== this.input.me.incarnation)
@@ -55,17 +55,18 @@
 
   /** May this node answer workers and decide for the slot right now? */
   entitled(slot: string): number | null {
-    return mayAct(this.tenure, this.input.now()) ? this.mine(slot) : null;
+    return mayAct(this.leaseState, this.input.now()) ? this.mine(slot) : null;
   }
 
   get lease(): number | null {
-    return this.tenure._tag === 'detached' ? null : this.tenure.lease;
+    return this.leaseState._tag === 'detached' ? null : this.leaseState.lease;
   }
 
-  private step(event: TenureEvent): void {
-    const before = this.tenure._tag;
-    this.tenure = nextTenure(this.tenure, event, CLAIM_TTL_MS);
-    if (before !== this.tenure._tag) log.info({ event: 'tenure.change', from: before, to: this.tenure._tag });
+  private step(event: LeaseEvent): void {
+    const before = this.leaseState._tag;
+    this.leaseState = nextLeaseState(this.leaseState, event, CLAIM_TTL_MS);
+    if (before !== this.leaseState._tag)
+      log.info({ event: 'lease.change', from: before, to: this.leaseState._tag });
   }
 
   private readonly renewals: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
@@ -92,9 +93,9 @@
     for (;;) {
       yield* Effect.sleep(CLAIM_TICK_MS);
       const now = this.input.now();
-      this.step({ _tag: 'tick', now, rideUntil: this.input.rideUntil() });
+      this.step({ _tag: 'tick', now, outageGraceUntil: this.input.outageGraceUntil() });
       const lease = this.lease;
-      if (!this.mirror.ready || lease === null || !mayAct(this.tenure, now)) continue;
+      if (!this.cache.ready || lease === null || !mayAct(this.leaseState, now)) continue;
       const claims = new Map<string, SeenClaim>();
       for (const slot of this.slots) {
         const claim = this.claim(slot);
@@ -104,14 +105,14 @@
         } else if (!this.freeSince.has(slot)) this.freeSince.set(slot, now);
       }
       const unheard = this.input.unheard();
-      if (unheard.size > 0) this.deafUntil = now + DEAF_PAUSE_MS;
+      if (unheard.size > 0) this.deafUntil = now + UNREACHABLE_PAUSE_MS;
       const actions = decideClaims({
         me: this.input.me,
         nodes: this.input.nodes,
         slots: this.slots,
         claims,
         freeSince: this.freeSince,
-        siblings: this.input.siblings(),
+        peers: this.input.peers(),
         unheard,
         deaf: this.deaf,
         now,
@@ -127,7 +128,7 @@
           'vital',
         );
         log.info({ event: `claim.${action._tag}`, slot: action.slot, to: to.value.n, result: result._tag });
-        // The mirror shows the claim in its place among all changes; acting earlier would skip some.
+        // The cache shows the claim in its place among all changes; acting earlier would skip some.
       }
     }
   });
--- a/src/claims/tenure.test.ts
+++ b/src/claims/lease-state.test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { decideClaims, type ClaimsView, type SeenClaim } from './decide.js';
-import { deadline, mayAct, nextTenure, type Tenure, type TenureEvent } from './tenure.js';
+import { deadline, mayAct, nextLeaseState, type LeaseState, type LeaseEvent } from './lease-state.js';
 
 const TTL = 5_000;
-const holding = (sentAt: number): Tenure => ({ _tag: 'holding', lease: 7, until: deadline(sentAt, TTL) });
+const holding = (sentAt: number): LeaseState => ({ _tag: 'holding', lease: 7, until: deadline(sentAt, TTL) });
 
 const tenures: readonly {
   name: string;
-  from: Tenure;
-  event: TenureEvent;
+  from: LeaseState;
+  event: LeaseEvent;
   to: string;
   actsAt?: number;
   acts?: boolean;
@@ -31,22 +31,22 @@
   {
     name: 'without a renewal nothing is done near the end of the lease',
     from: holding(0),
-    event: { _tag: 'tick', now: 4_800, rideUntil: null },
-    to: 'silent',
+    event: { _tag: 'tick', now: 4_800, outageGraceUntil: null },
+    to: 'suspended',
     actsAt: 4_800,
     acts: false,
   },
   {
     name: 'a silent node stays silent, however quiet the others are',
-    from: { _tag: 'silent', lease: 7 },
-    event: { _tag: 'tick', now: 1, rideUntil: Number.POSITIVE_INFINITY },
-    to: 'silent',
+    from: { _tag: 'suspended', lease: 7 },
+    event: { _tag: 'tick', now: 1, outageGraceUntil: Number.POSITIVE_INFINITY },
+    to: 'suspended',
   },
   {
     name: 'an outage for most is ridden out',
     from: holding(0),
-    event: { _tag: 'tick', now: 4_800, rideUntil: Number.POSITIVE_INFINITY },
-    to: 'riding',
+    event: { _tag: 'tick', now: 4_800, outageGraceUntil: Number.POSITIVE_INFINITY },
+    to: 'outageGrace',
     actsAt: 5_500,
     acts: true,
   },
@@ -54,34 +54,34 @@
   {
     name: 'an outage is ridden out no longer than unknown cancellations allow',
     from: holding(0),
-    event: { _tag: 'tick', now: 4_800, rideUntil: 5_000 },
-    to: 'riding',
+    event: { _tag: 'tick', now: 4_800, outageGraceUntil: 5_000 },
+    to: 'outageGrace',
     actsAt: 5_001,
     acts: false,
   },
   {
     name: 'riding is cut short when a sibling falls silent and the bound is passed',
-    from: { _tag: 'riding', lease: 7, until: 9_000 },
-    event: { _tag: 'tick', now: 8_000, rideUntil: 7_900 },
-    to: 'silent',
+    from: { _tag: 'outageGrace', lease: 7, until: 9_000 },
+    event: { _tag: 'tick', now: 8_000, outageGraceUntil: 7_900 },
+    to: 'suspended',
   },
   {
     name: 'the bound on riding takes nothing from a lease that surely lasts',
     from: holding(0),
-    event: { _tag: 'tick', now: 1_000, rideUntil: -5_000 },
+    event: { _tag: 'tick', now: 1_000, outageGraceUntil: -5_000 },
     to: 'holding',
     actsAt: 4_600,
     acts: true,
   },
   {
     name: 'riding ends soon after the others can reach the state again',
-    from: { _tag: 'riding', lease: 7, until: 9_000 },
-    event: { _tag: 'tick', now: 9_001, rideUntil: null },
-    to: 'silent',
+    from: { _tag: 'outageGrace', lease: 7, until: 9_000 },
+    event: { _tag: 'tick', now: 9_001, outageGraceUntil: null },
+    to: 'suspended',
   },
   {
     name: 'a renewal ends silence',
-    from: { _tag: 'silent', lease: 7 },
+    from: { _tag: 'suspended', lease: 7 },
     event: { _tag: 'renewed', lease: 7, sentAt: 10 },
     to: 'holding',
   },
@@ -101,8 +101,8 @@
 ];
 
 for (const row of tenures) {
-  test(`tenure: ${row.name}`, () => {
-    const after = nextTenure(row.from, row.event, TTL);
+  test(`lease: ${row.name}`, () => {
+    const after = nextLeaseState(row.from, row.event, TTL);
     assert.equal(after._tag, row.to);
     if (row.actsAt !== undefined) assert.equal(mayAct(after, row.actsAt), row.acts);
   });
@@ -115,7 +115,7 @@
   slots: ['0', '1', '2', 'L'],
   claims: new Map(),
   freeSince: new Map(),
-  siblings: [],
+  peers: [],
   unheard: new Map(),
   deaf: false,
   now: 0,
@@ -155,7 +155,7 @@
     name: 'a second share goes back to a steady node without one',
     view: view({
       claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n2'), L: claim('n2') }),
-      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true, deaf: false }],
+      peers: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true, deaf: false }],
     }),
     expect: ['hand 1'],
   },
@@ -163,7 +163,7 @@
     name: 'it does not go back to one that only just came up, or that cannot reach the state',
     view: view({
       claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n0'), L: claim('n2') }),
-      siblings: [
+      peers: [
         { node: 'n1', incarnation: '2', lease: 3, steadyMs: 100, stateOk: true, deaf: false },
         { node: 'n2', incarnation: '2', lease: 4, steadyMs: 60_000, stateOk: false, deaf: false },
       ],
@@ -174,7 +174,7 @@
     name: 'a share whose workers reach only another node is handed to that node',
     view: view({
       claims: all({ '0': claim('n0'), '1': claim('n1'), '2': claim('n2'), L: claim('n2') }),
-      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 100, stateOk: true, deaf: false }],
+      peers: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 100, stateOk: true, deaf: false }],
       unheard: new Map([['0', 'n1']]),
     }),
     expect: ['hand 0'],
@@ -183,7 +183,7 @@
     name: 'and does not come back while its owner says that workers could not reach it',
     view: view({
       claims: all({ '0': claim('n0'), '1': claim('n0'), '2': claim('n2'), L: claim('n2') }),
-      siblings: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true, deaf: true }],
+      peers: [{ node: 'n1', incarnation: '2', lease: 3, steadyMs: 60_000, stateOk: true, deaf: true }],
     }),
     expect: [],
   },
--- a/src/claims/tenure.ts
+++ b/src/claims/lease-state.ts
@@ -1,34 +1,34 @@
-import { BEAT_FRESH_MS, CLAIM_MARGIN_MS, CLOCK_DRIFT } from '../constants.js';
+import { HEARTBEAT_FRESH_MS, CLAIM_MARGIN_MS, CLOCK_DRIFT } from '../constants.js';
 
 /**
  * How long this node may act on the claims attached to its lease. The deadline is this node's own reckoning
  * from the moment it *sent* its last good renewal; the state service never ends the lease before it.
  */
-export type Tenure =
+export type LeaseState =
   /** No lease: nothing may be done. */
   | { readonly _tag: 'detached' }
   /** The lease surely lasts until `until` (ms, steady clock). */
   | { readonly _tag: 'holding'; readonly lease: number; readonly until: number }
   /** The state service is down for most nodes, where no lease runs out: workers may still be answered. */
-  | { readonly _tag: 'riding'; readonly lease: number; readonly until: number }
+  | { readonly _tag: 'outageGrace'; readonly lease: number; readonly until: number }
   /** The lease may be over: nobody is answered until a renewal says that it is not. */
-  | { readonly _tag: 'silent'; readonly lease: number };
+  | { readonly _tag: 'suspended'; readonly lease: number };
 
-export type TenureEvent =
+export type LeaseEvent =
   | { readonly _tag: 'granted'; readonly lease: number; readonly sentAt: number }
   | { readonly _tag: 'renewed'; readonly lease: number; readonly sentAt: number }
   | { readonly _tag: 'ended'; readonly lease: number }
   | {
       readonly _tag: 'tick';
       readonly now: number;
-      /** Until when workers may be answered in an outage (ms, steady clock; `rideUntil`); null: there is none. */
-      readonly rideUntil: number | null;
+      /** Until when workers may be answered in an outage (ms, steady clock; `outageGraceUntil`); null: there is none. */
+      readonly outageGraceUntil: number | null;
     };
 
 export const deadline = (sentAt: number, ttlMs: number): number =>
   sentAt + ttlMs * (1 - CLOCK_DRIFT) - CLAIM_MARGIN_MS;
 
-export const nextTenure = (tenure: Tenure, event: TenureEvent, ttlMs: number): Tenure => {
+export const nextLeaseState = (tenure: LeaseState, event: LeaseEvent, ttlMs: number): LeaseState => {
   switch (event._tag) {
     case 'granted':
       return { _tag: 'holding', lease: event.lease, until: deadline(event.sentAt, ttlMs) };
@@ -41,32 +41,32 @@
     case 'tick':
       switch (tenure._tag) {
         case 'detached':
-        case 'silent':
+        case 'suspended':
           return tenure;
         case 'holding':
-        case 'riding': {
-          if (event.rideUntil !== null) {
-            // After the outage the lease has its full time again, and siblings' word is at most this old.
-            const confirmed = Math.max(tenure.until, deadline(event.now - BEAT_FRESH_MS, ttlMs));
-            const until = Math.min(confirmed, event.rideUntil);
+        case 'outageGrace': {
+          if (event.outageGraceUntil !== null) {
+            // After the outage the lease has its full time again, and peers' word is at most this old.
+            const confirmed = Math.max(tenure.until, deadline(event.now - HEARTBEAT_FRESH_MS, ttlMs));
+            const until = Math.min(confirmed, event.outageGraceUntil);
             if (event.now < tenure.until && tenure._tag === 'holding') return tenure;
             return event.now < until
-              ? { _tag: 'riding', lease: tenure.lease, until }
-              : { _tag: 'silent', lease: tenure.lease };
+              ? { _tag: 'outageGrace', lease: tenure.lease, until }
+              : { _tag: 'suspended', lease: tenure.lease };
           }
-          return event.now < tenure.until ? tenure : { _tag: 'silent', lease: tenure.lease };
+          return event.now < tenure.until ? tenure : { _tag: 'suspended', lease: tenure.lease };
         }
       }
   }
 };
 
-export const mayAct = (tenure: Tenure, now: number): boolean => {
+export const mayAct = (tenure: LeaseState, now: number): boolean => {
   switch (tenure._tag) {
     case 'holding':
-    case 'riding':
+    case 'outageGrace':
       return now < tenure.until;
     case 'detached':
-    case 'silent':
+    case 'suspended':
       return false;
   }
 };
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -13,32 +13,32 @@
 /** ms: taken off a lease's end, for timers that fire late on a busy core. */
 export const CLAIM_MARGIN_MS = 300;
 /** ms: how long another node leaves a free claim to the node that it is meant for. */
-export const CLAIM_COURTESY_MS = 1_500;
+export const CLAIM_GRACE_MS = 1_500;
 /** ms: between looks at the claims. */
 export const CLAIM_TICK_MS = 300;
-/** ms: a sibling must have answered steadily this long before a second share is handed back to it. */
+/** ms: a peer must have answered steadily this long before a second share is handed back to it. */
 export const HANDBACK_STABLE_MS = 12_000;
 
-/** ms: between beats to each sibling; the leader acts on what beats say. */
-export const BEAT_MS = 1_000;
-/** Beats after which the second of two nodes, by name, begins an exchange that the first should have begun. */
-export const BEAT_OTHER = 1.25;
+/** ms: between heartbeats to each peer; the leader acts on what heartbeats say. */
+export const HEARTBEAT_MS = 1_000;
+/** Heartbeats after which the second of two nodes, by name, begins an exchange that the first should have begun. */
+export const HEARTBEAT_RESPONDER_FACTOR = 1.25;
 /** Fraction of that time after which a timer that fires a little early still begins it. */
-export const BEAT_DUE = 0.9;
-/** ms: between two beats to the leader when something changed; a change a few rounds apart shares one. */
-export const BEAT_HURRY_MS = 400;
+export const HEARTBEAT_DUE_FRACTION = 0.9;
+/** ms: between two heartbeats to the leader when something changed; a change a few rounds apart shares one. */
+export const HEARTBEAT_NOTIFY_MS = 400;
 /** ms: a share's needs are worked out this often at most; the leader acts on them no faster. */
 export const PLAN_MS = 300;
 /** Spares of one type, zone and kind that a share names to the leader, and to the others. More are seldom
- *  moved at once, and a beat must stay small with hundreds of machines. */
-export const SPARES_NAMED = 24;
+ *  moved at once, and a heartbeat must stay small with hundreds of machines. */
+export const SPARES_PER_KIND_MAX = 24;
 /** Classes of need in one summary: the most important first. */
-export const NEEDS_NAMED = 40;
+export const DEMAND_CLASSES_MAX = 40;
 /** ms: between two summaries or orders that go through the state service because a connection is refused: two
  *  changes of its rate for each node cut off so. */
-export const DETOUR_MS = 2_000;
+export const RELAY_MS = 2_000;
 /** ms: what came that way counts this long. */
-export const DETOUR_FRESH_MS = 7_000;
+export const RELAY_FRESH_MS = 7_000;
 /** ms: users' questions wait this long for others, to be read fresh together. Some twenty a second come to each of several
  *  nodes: at half of this nearly each was a request of its own, a third of all that the state service was asked. */
 export const FRESH_BATCH_MS = 250;
@@ -46,13 +46,13 @@
  *  user need not. */
 export const RATE_RETRY_MS = 120;
 export const RATE_RETRIES = 6;
-/** ms: a sibling's word about the state service counts this long. */
-export const BEAT_FRESH_MS = 2_500;
-/** ms: wait for a sibling's answer. */
-export const MESH_TIMEOUT_MS = 900;
+/** ms: a peer's word about the state service counts this long. */
+export const HEARTBEAT_FRESH_MS = 2_500;
+/** ms: wait for a peer's answer. */
+export const PEER_TIMEOUT_MS = 900;
 
-/** Jobs whose task counts a share tells the other nodes with each beat; they are for display only. */
-export const COUNTS_TOLD = 400;
+/** Jobs whose task counts a share tells the other nodes with each heartbeat; they are for display only. */
+export const TASK_COUNTS_MAX = 400;
 
 /** ms: wait for the state service. Normal answers take 10 ms, now and then a few hundred. */
 export const STORE_TIMEOUT_MS = 1_500;
@@ -70,19 +70,19 @@
  *  is the pause between two watches, some 0.2 to 0.4 s, little beside a report interval. */
 export const WATCH_SHARE = 0.1;
 /** Fraction of a second's rate that must be there for a batch to pass; the rest of it is owed. */
-export const BUDGET_DOWN = 0.25;
+export const RATE_DOWN_PAYMENT = 0.25;
 /** Fraction of a second's rate, and changes at least, that one transaction holds: a larger one would leave the others
  *  nothing for as long as it owes. */
 export const BATCH_SHARE = 0.6;
 export const BATCH_LEAST = 6;
 /** ms: between looks at the queue for budget, at least and at most; the rate may change in between. */
-export const BUDGET_PUMP_MS = 10;
-export const BUDGET_LOOK_MS = 250;
-/** ms: over so long (once or twice) a node's demand for budget is measured; several beats. */
-export const BUDGET_WINDOW_MS = 2_000;
+export const RATE_QUEUE_MIN_MS = 10;
+export const RATE_QUEUE_MAX_MS = 250;
+/** ms: over so long (once or twice) a node's demand for budget is measured; several heartbeats. */
+export const RATE_DEMAND_WINDOW_MS = 2_000;
 /** Fraction of a common rate that is divided evenly; the rest goes by demand. An idle node must be able to
  *  renew, answer and take over at once, before the others have heard of its demand. */
-export const BUDGET_EVEN = 0.5;
+export const RATE_EVEN_FRACTION = 0.5;
 /** Fraction of the node's request budget that only renewals and users' calls may use. */
 export const STORE_RESERVE = 0.35;
 /** ms: longest wait for budget before a call is given up as not carried out. */
@@ -96,7 +96,7 @@
 
 /** bytes: the protocol's bound on bodies. */
 export const BODY_MAX_BYTES = 64 * 1024;
-/** bytes: bound on what we read from the state service, the cloud and siblings. */
+/** bytes: bound on what we read from the state service, the cloud and peers. */
 export const ANSWER_MAX_BYTES = 16 * 1024 * 1024;
 /** bytes: bodies up to this size are written together with their head; larger ones are not worth the copy. */
 export const ONE_WRITE_BYTES = 4 * 1024;
@@ -109,30 +109,30 @@
 /** ms: longest time a user's call may take here; the user gives up after 5 s, polls after 2 s. */
 export const USER_BUDGET_MS = 1_800;
 /** Fraction of the socket limit for incoming connections. */
-export const SOCKETS_IN = 0.76;
+export const INCOMING_SOCKET_SHARE = 0.76;
 /** Fraction of those above which workers no longer keep theirs between reports: one node may be left for all workers,
  *  more than it has sockets, and users, health checks and other controllers must still find room. */
-export const SOCKETS_CROWDED = 0.85;
+export const CROWDED_SOCKET_SHARE = 0.85;
 /** ms: a connection unused for so long is closed. Workers and users call every few seconds; what is silent for many
  *  times that is a machine that died or was cut off, whose end of the connection never closes. */
 export const CONNECTION_IDLE_MS = 60_000;
 /** Fraction of the socket limit for connections to workers, idle ones included. */
-export const SOCKETS_DIRECT = 0.12;
+export const WORKER_CLIENT_SOCKET_SHARE = 0.12;
 /** Sockets to one address. */
 export const SOCKETS_OUT = 24;
-/** Sockets to a sibling: beats, task counts and moves. */
-export const SOCKETS_MESH = 6;
+/** Sockets to a peer: heartbeats, task counts and moves. */
+export const PEER_SOCKETS = 6;
 
 /** Tasks of one job looked at in one round; the largest gang must fit, and no machine park here holds more. */
-export const ASK_TASKS = 2_048;
+export const REQUEST_TASKS_MAX = 2_048;
 /** ms: between placement rounds; events start one at once. */
 export const PLACE_TICK_MS = 500;
 /** Report intervals: after a takeover, placement waits at most this long for the share's machines to report. Each
  *  has reported once by then, and once more under the new token if it heard the answer. */
 export const REBUILD_REPORTS = 1.5;
-/** ms: a job waits this long for free machines of other shares before groups are evicted for it: one beat
+/** ms: a job waits this long for free machines of other shares before groups are preempted for it: one heartbeat
  *  and one move, with some to spare. */
-export const EVICT_AFTER_MS = 2_500;
+export const PREEMPT_AFTER_MS = 2_500;
 /** Transactions of one share under way at once; an answer takes some 10 ms, so these fill any rate. */
 export const COMMITS_AT_ONCE = 6;
 /** Fraction of this node's share of a core that rounds may take; reports, users' calls and renewals need the rest. A
@@ -147,10 +147,10 @@
 export const FORGET_AFTER_MS = 30_000;
 /** ms: machines are looked at this often for leases, silence and return; all of them counts in seconds. */
 export const WATCH_MACHINES_MS = 500;
-/** ms: pause between searches for groups to evict, the dearest of decisions. */
-export const EVICT_EVERY_MS = 1_000;
+/** ms: pause between searches for groups to preempt, the dearest of decisions. */
+export const PREEMPT_INTERVAL_MS = 1_000;
 /** Waiting classes that one search looks at. */
-export const EVICT_ASKS = 6;
+export const PREEMPT_REQUESTS_MAX = 6;
 /** Fraction of a node's change rate below which finished tasks are written at once: there is room to spare, and the
  *  sooner an exit is written, the sooner its machine may move to another share. */
 export const FLUSH_AT_ONCE = 0.4;
@@ -180,7 +180,7 @@
 /** Nominal boot times for which an idle machine is held: about what a new one costs, in time and money. */
 export const IDLE_BOOTS = 1.5;
 /** Machines: so many idle ones of a kind are held that long by each share; it is gangs of a few tasks that wait. */
-export const HELD_IDLE = 2;
+export const IDLE_KEPT_LONGER = 2;
 /** Nominal boot times for which the others are held: a lull of half a boot is no reason to let go. */
 export const IDLE_BOOTS_MANY = 0.5;
 /** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
@@ -212,34 +212,34 @@
 /** ms: longest pause of a failing job. */
 export const JOB_BACKOFF_MAX_MS = 120_000;
 /** s: grace beyond a task's own saving time when it is stopped. */
-export const SETTLE_EXTRA_S = 2;
+export const STOP_GRACE_EXTRA_S = 2;
 /** ms: a saving task that overstays its grace by this is ended without. */
-export const SETTLE_OVERRUN_MS = 4_000;
+export const STOP_GRACE_OVERRUN_MS = 4_000;
 
 /** ms: wait for a worker's answer to direct commands. */
 export const DIRECT_TIMEOUT_MS = 1_500;
 /** Report intervals: a holder that heard no worker for this long, while another node hears them, hands its share
  *  over. */
-export const DEAF_REPORTS = 3;
+export const UNREACHABLE_REPORTS = 3;
 /** ms: after that it takes no share back; long enough for most cuts, and it can't tell when one ends. */
-export const DEAF_PAUSE_MS = 45_000;
+export const UNREACHABLE_PAUSE_MS = 45_000;
 
 /** Fraction of its class's loosest start target, and ms at most, that a gang no zone has room for waits before
  *  machines are gathered for it; ms where the class has no such target. Gathering takes about as long again, and
  *  what is kept idle for one large gang would have started several small ones, which most jobs are. */
-export const HOLD_AFTER_TARGET = 1 / 2;
-export const HOLD_AFTER_MOST_MS = 100_000;
-export const HOLD_AFTER_MS = 60_000;
+export const RESERVE_AFTER_TARGET = 1 / 2;
+export const RESERVE_AFTER_MAX_MS = 100_000;
+export const RESERVE_AFTER_MS = 60_000;
 /** ms: the same for an array or service of which nothing runs yet; one machine is gathered for it. */
-export const HOLD_PLAIN_AFTER_MS = 100_000;
+export const RESERVE_ARRAY_AFTER_MS = 100_000;
 /** ms: a hold that did not lead to a start by then is given up, and may begin anew in another zone: a zone turns
  *  over within a task's time or two. */
-export const HOLD_MAX_MS = 100_000;
-/** ms: a move that shows nowhere by then was not carried out; a transaction, a watch and a beat, with some to spare. */
+export const RESERVATION_MAX_MS = 100_000;
+/** ms: a move that shows nowhere by then was not carried out; a transaction, a watch and a heartbeat, with some to spare. */
 export const MOVE_SHOWN_MS = 4_000;
 /** ms: a machine that came from another share counts as room for this long before its worker has answered. */
-export const GREET_MS = 3_000;
-/** ms: a hold is heeded this long after it was last heard of. */
+export const TRANSFER_CONTACT_MS = 3_000;
+/** ms: a hold is acknowledged this long after it was last heard of. */
 export const HOLD_FRESH_MS = 4_000;
 /** ms: how often a node that does not lead looks whether it does. */
 export const LEADER_IDLE_MS = 1_000;
@@ -271,22 +271,22 @@
 
 /** What this version understands of what nodes say to each other: 1, it acknowledges cancellations (`/heed`), tells a user
  *  of one only once its holder can't fail to act on it, and understands jobs that follow others. Versions before that say nothing, and count as 0. */
-export const LEVEL = 1;
+export const PROTOCOL_VERSION = 1;
 /** The level from which a node acknowledges cancellations. */
-export const LEVEL_HEEDS = 1;
+export const PROTOCOL_ACKNOWLEDGES_CANCELLATIONS = 1;
 /** The level from which a node understands jobs that follow others. */
-export const LEVEL_PIPELINES = 1;
+export const PROTOCOL_PIPELINES = 1;
 /** ms: between looks whether every node has announced its level; an upgrade takes minutes. */
-export const LEVEL_MS = 2_000;
+export const PROTOCOL_VERSION_CHECK_MS = 2_000;
 /** ms: cancellations that come together are put to their holder in one message; little beside a user's 5 s. */
-export const HEED_BATCH_MS = 20;
+export const ACKNOWLEDGEMENT_BATCH_MS = 20;
 /** Cancellations in one such message, bounded for the body's size. */
-export const HEED_MOST = 400;
+export const ACKNOWLEDGEMENT_BATCH_MAX = 400;
 /** ms: between a holder's durable marks, which only stand in for connections that are refused. */
-export const MARK_MS = 500;
-/** ms: taken off the time for which a holder may answer workers without having read the shared keys: siblings' word
+export const DURABLE_ACKNOWLEDGEMENT_MS = 500;
+/** ms: taken off the time for which a holder may answer workers without having read the shared keys: peers' word
  *  about the state service is up to 2.5 s old, timers fire late, and a command may be under way for a second or two. */
-export const RIDE_MARGIN_MS = 5_000;
+export const OUTAGE_GRACE_MARGIN_MS = 5_000;
 /** ms: so long before `cancel_s` is over a machine on which a cancelled task isn't proven gone is to be returned: one
  *  transaction, the leader's watch and round, and some calls at the cloud's rate. */
 export const RETURN_RESERVE_MS = 10_000;
@@ -297,12 +297,12 @@
  *  command, and a small image. What a deadline at the end leaves to the stages before is counted with it. */
 export const STAGE_EXTRA_MS = 6_000;
 /** ms: between looks for the final records of followed jobs that are over. */
-export const LOOK_MS = 100;
+export const FINAL_READS_PAUSE_MS = 100;
 /** Final records read side by side. */
-export const LOOK_AT_ONCE = 8;
+export const FINAL_READS_MAX = 8;
 /** ms: a waiting job's user is answered from this node's copy of the shared keys only if that is this fresh (more than
  *  twice a watch); what the
  *  copy may not show of a cancellation stays far below `cancel_s`. */
-export const COPY_FRESH_MS = 10_000;
+export const CACHE_FRESH_MS = 10_000;
 /** Fraction of the value size that a record's estimated size may take: escapes and longer names have their room. */
 export const VALUE_FILL = 0.85;
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -2,7 +2,7 @@
 import { CLOUD_TIMEOUT_MS } from '../constants.js';
 import type { Caller, Callers, Target } from '../http.js';
 import type { MachineType } from '../jobs/model.js';
-import { Budget } from '../store/budget.js';
+import { RateLimiter } from '../store/rate-limiter.js';
 
 /** The cloud's API; its wire words stay here. */
 export interface ListedMachine {
@@ -68,11 +68,11 @@
 
 export class Cloud {
   private readonly client: Caller;
-  private readonly budget: Budget;
+  private readonly budget: RateLimiter;
   constructor(target: Target, rps: number, nodes: number, now: () => number, callers: Callers) {
     this.client = callers(target, 4);
     // Only the leader calls regularly; the others read the catalog at their start.
-    this.budget = new Budget(rps * (nodes > 1 ? 0.8 : 1), 0, CLOUD_TIMEOUT_MS, now);
+    this.budget = new RateLimiter(rps * (nodes > 1 ? 0.8 : 1), 0, CLOUD_TIMEOUT_MS, now);
   }
 
   private async call(method: string, path: string, body: unknown) {
--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Catalog } from '../jobs/model.js';
-import { Budget } from '../store/budget.js';
+import { RateLimiter } from '../store/rate-limiter.js';
 import { planSteps, type Moving } from './plan.js';
-import type { Hold, Need, Spare, Summary, WaitingGang } from './records.js';
+import type { Reservation, UnmetDemand, SpareMachine, Summary, WaitingGang } from './records.js';
 
 const catalog: Catalog = new Map([
   [
@@ -41,7 +41,7 @@
   waitedMs,
   patienceMs: 8_000,
 });
-const need = (over: Partial<Need>): Need => ({
+const need = (over: Partial<UnmetDemand>): UnmetDemand => ({
   cpus: 4,
   gpus: 1,
   memoryGb: 16,
@@ -58,7 +58,7 @@
   waitedMs: 0,
   ...over,
 });
-const spare = (id: string, over: Partial<Spare> = {}): Spare => ({
+const spare = (id: string, over: Partial<SpareMachine> = {}): SpareMachine => ({
   id,
   type: 'large',
   zone: 'a',
@@ -66,7 +66,11 @@
   idleS: 1,
   ...over,
 });
-const summary = (share: number, needs: readonly Need[], spares: readonly Spare[] = []): Summary => ({
+const summary = (
+  share: number,
+  needs: readonly UnmetDemand[],
+  spares: readonly SpareMachine[] = [],
+): Summary => ({
   share,
   claim: 1,
   revision: 1,
@@ -75,9 +79,9 @@
 });
 
 const full = ['large a false', 'large b false', 'small a false', 'small b false'];
-const whole = (over: Partial<Need>): Need =>
+const whole = (over: Partial<UnmetDemand>): UnmetDemand =>
   need({ spot: false, gang: true, oneZone: true, gpus: 4, cpus: 16, ...over });
-const hold = (over: Partial<Hold>): Hold => ({
+const hold = (over: Partial<Reservation>): Reservation => ({
   share: 0,
   job: 'job-4',
   zone: 'b',
@@ -97,7 +101,7 @@
   summaries: readonly Summary[];
   refused?: readonly string[];
   machines?: Readonly<Record<string, number>>;
-  holds?: readonly Hold[];
+  holds?: readonly Reservation[];
   behind?: readonly number[];
   moving?: readonly Moving[];
   expect: readonly string[];
@@ -283,7 +287,7 @@
 // arrays were refused for minutes, and machines stood idle beside waiting work.
 test('budget: a batch as large as the bucket passes beside steady small calls, and is paid for', () => {
   let now = 0;
-  const budget = new Budget(12, 0.35, 2_000, () => now);
+  const budget = new RateLimiter(12, 0.35, 2_000, () => now);
   let batches = 0;
   let users = 0;
   for (; now < 60_000; now += 100) {
@@ -296,7 +300,7 @@
 
 test('budget: renewals pass when background work and users have used theirs', () => {
   let now = 0;
-  const budget = new Budget(100, 0.35, 1_000, () => now);
+  const budget = new RateLimiter(100, 0.35, 1_000, () => now);
   assert.equal(budget.tryTake(65, 'work'), true);
   assert.equal(budget.tryTake(1, 'work'), false);
   assert.equal(budget.tryTake(35, 'user'), true);
--- a/src/fleet/leader.test.ts
+++ b/src/fleet/leader.test.ts
@@ -4,7 +4,7 @@
 import * as Fiber from 'effect/Fiber';
 import type { Callers } from '../http.js';
 import { Store } from '../store/client.js';
-import { Mirror } from '../store/mirror.js';
+import { WatchCache } from '../store/watch-cache.js';
 import { StateStandIn } from '../testing/world.js';
 import { Cloud } from './cloud.js';
 import { Leader } from './leader.js';
@@ -60,10 +60,10 @@
     const now = (): number => Date.now();
     const limits = { rps: 150, write_rps: CHANGES_A_SECOND, txn_ops: 48, nodes: 1 };
     const store = new Store({ host: 'state', port: 1 }, limits, now, callers);
-    const mirror = new Mirror(store);
+    const cache = new WatchCache(store);
     const leader = new Leader({
       store,
-      mirror,
+      cache,
       cloud: new Cloud({ host: 'cloud', port: 1 }, 2, 1, now, callers),
       shares: 3,
       valueBytes: 16 * 1024,
@@ -76,12 +76,12 @@
       now,
       wall: now,
     });
-    const fibers = [Effect.runFork(mirror.run), Effect.runFork(leader.run)];
+    const fibers = [Effect.runFork(cache.run), Effect.runFork(leader.run)];
     let begun = false;
     for (let at = 0; at < seconds * 1_000; at += 20) {
       for (let k = 0; k < 6; k += 1) await new Promise((resolve) => setImmediate(resolve));
       mock.timers.tick(20);
-      if (!begun && mirror.ready) {
+      if (!begun && cache.ready) {
         begun = true;
         work(leader, state);
       }
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -2,7 +2,7 @@
 import {
   CATALOG_MS,
   CLOUD_RETRY_MS,
-  HOLD_MAX_MS,
+  RESERVATION_MAX_MS,
   LEADER_IDLE_MS,
   LEADER_TICK_MS,
   LIST_MS,
@@ -19,14 +19,14 @@
 import { log } from '../log.js';
 import type { Item, Store } from '../store/client.js';
 import { CATALOG_KEY, claimKey, machineKey } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
+import type { WatchCache } from '../store/watch-cache.js';
 import { readStored, storeCatalog } from './catalog.js';
 import type { Cloud, ListedMachine } from './cloud.js';
 import { planSteps, type Moving, type Step } from './plan.js';
 import {
   readMachineRecord,
   writeMachineRecord,
-  type Hold,
+  type Reservation,
   type MachineRecord,
   type Move,
   type Summary,
@@ -34,7 +34,7 @@
 
 export interface LeaderInput {
   readonly store: Store;
-  readonly mirror: Mirror;
+  readonly cache: WatchCache;
   readonly cloud: Cloud;
   readonly shares: number;
   readonly listLagS: number;
@@ -61,8 +61,8 @@
   /** Summaries older than this revision don't know of machines rented since. */
   private readonly rentedAt = new Map<number, number>();
   private readonly adopting = new Map<string, MachineRecord>();
-  /** What machines are being gathered for; the shares hear of it with the beats. */
-  holds: readonly Hold[] = [];
+  /** What machines are being gathered for; the shares hear of it with the heartbeats. */
+  holds: readonly Reservation[] = [];
   private plannedAt = 0;
   /** Moves ordered lately, with the time (ms): until the new share's summary shows them they are neither here nor
    *  there, and what they were gathered for would be given up for another zone. */
@@ -74,7 +74,7 @@
 
   /** A worker that no record knows reported somewhere. */
   adopt(id: string, type: string, zone: string, spot: boolean, at = 0): void {
-    if (this.input.mirror.get(machineKey(id)) !== undefined || this.adopting.has(id)) return;
+    if (this.input.cache.get(machineKey(id)) !== undefined || this.adopting.has(id)) return;
     const released = this.releasedAt.get(id);
     if (released !== undefined) return;
     this.adopting.set(id, {
@@ -97,7 +97,7 @@
       if (record.type === type && record.spot === spot)
         counts[record.share] = (counts[record.share] ?? 0) + 1 + (record.zone === zone ? 0.1 : 0);
     };
-    for (const item of this.input.mirror.under('w/m/')) add(readMachineRecord(item.value));
+    for (const item of this.input.cache.under('w/m/')) add(readMachineRecord(item.value));
     for (const record of this.adopting.values()) add(record);
     let best = 0;
     counts.forEach((count, share) => {
@@ -113,7 +113,7 @@
       for (;;) {
         yield* Effect.sleep(leads ? LEADER_TICK_MS : LEADER_IDLE_MS);
         const claim = this.input.entitled();
-        leads = claim !== null && this.input.mirror.ready;
+        leads = claim !== null && this.input.cache.ready;
         if (claim !== null && leads) yield* work(claim);
         else this.rest();
       }
@@ -150,7 +150,7 @@
       const now = this.input.now();
       const lead = this.input.entitled() !== null;
       // Only the leader refreshes the durable copy; anyone fills it while there is none.
-      if (!this.input.mirror.ready || (this.input.catalog() !== null && !lead)) return;
+      if (!this.input.cache.ready || (this.input.catalog() !== null && !lead)) return;
       if (
         this.catalogAt !== 0 &&
         now - this.catalogAt < (this.input.catalog() === null ? CLOUD_RETRY_MS : CATALOG_MS)
@@ -162,8 +162,8 @@
         log.info({ event: 'catalog.failed', why: result.why });
         return;
       }
-      const known = this.input.mirror.get(CATALOG_KEY);
-      const before = known ? readStored(known, (key) => this.input.mirror.get(key)) : null;
+      const known = this.input.cache.get(CATALOG_KEY);
+      const before = known ? readStored(known, (key) => this.input.cache.get(key)) : null;
       if (before && JSON.stringify(before) === JSON.stringify(result.types)) return;
       const writes = storeCatalog(
         result.types,
@@ -184,7 +184,7 @@
       // Each unknown worker asks around once a second until it is recorded, so all that fit go at once; the rate is owed.
       const batch = [...this.adopting].slice(0, this.input.store.txnOps);
       for (const [id] of batch) this.adopting.delete(id);
-      const fresh = batch.filter(([id]) => this.input.mirror.get(machineKey(id)) === undefined);
+      const fresh = batch.filter(([id]) => this.input.cache.get(machineKey(id)) === undefined);
       if (fresh.length === 0) return;
       const result = yield* this.record(claim, fresh);
       log.info({ event: 'machine.adopted', machines: fresh.map(([id]) => id), result });
@@ -229,7 +229,7 @@
 
   private release(claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const wanted = [...this.input.mirror.under('w/m/')]
+      const wanted = [...this.input.cache.under('w/m/')]
         .filter((item) => readMachineRecord(item.value).releasing)
         // As many as one call takes: the cloud's rate is the scarcest, and replacements need it too.
         .slice(0, RELEASE_MAX);
@@ -286,7 +286,7 @@
       const lagS = this.input.listLagS * 2 + 5;
       for (const [id, at] of this.releasedAt) if (now - at > lagS * 4_000) this.releasedAt.delete(id);
       for (const machine of listed) {
-        if (machine.ageS < lagS || this.input.mirror.get(machineKey(machine.id))) continue;
+        if (machine.ageS < lagS || this.input.cache.get(machineKey(machine.id))) continue;
         if (this.releasedAt.has(machine.id)) continue;
         this.adopt(
           machine.id,
@@ -314,7 +314,7 @@
       const now = this.input.now();
       const counts = this.countMachines();
       for (const [id, { move, at }] of this.moving) {
-        const item = this.input.mirror.get(machineKey(id));
+        const item = this.input.cache.get(machineKey(id));
         const shown = summaries.find((summary) => summary.share === move.to)?.revision ?? 0;
         const arrived =
           item !== undefined && readMachineRecord(item.value).share === move.to && shown >= item.version;
@@ -333,7 +333,7 @@
       // A share that is not to be heard for a moment does not lose what was gathered for it.
       const unheard = before.filter(
         (hold) =>
-          hold.ageMs < HOLD_MAX_MS &&
+          hold.ageMs < RESERVATION_MAX_MS &&
           !summaries.some((summary) => summary.share === hold.share) &&
           !planned.some((other) => other.zone === hold.zone),
       );
@@ -350,7 +350,7 @@
         const list = moves.get(step.from) ?? [];
         moves.set(step.from, list);
         list.push({ machine: step.machine, to: step.to });
-        const item = this.input.mirror.get(machineKey(step.machine));
+        const item = this.input.cache.get(machineKey(step.machine));
         if (item) {
           const { type, zone, spot } = readMachineRecord(item.value);
           this.moving.set(step.machine, {
@@ -384,7 +384,7 @@
   /** Machines by type, zone and kind, of all shares. */
   private countMachines(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
-    for (const item of this.input.mirror.under('w/m/')) {
+    for (const item of this.input.cache.under('w/m/')) {
       const { type, zone, spot, releasing } = readMachineRecord(item.value);
       if (releasing) continue;
       const key = kindKey(type, zone, spot);
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,6 +1,6 @@
-import { HIRE_MAX, HOLD_MAX_MS, TASKS_MAX } from '../constants.js';
+import { HIRE_MAX, RESERVATION_MAX_MS, TASKS_MAX } from '../constants.js';
 import { howMany, typeAllowed, type Catalog, type Demand, type MachineType } from '../jobs/model.js';
-import type { Hold, Need, Summary, WaitingGang } from './records.js';
+import type { Reservation, UnmetDemand, Summary, WaitingGang } from './records.js';
 
 /** What the leader does about the shares' needs: first free machines of other shares, then new ones. */
 export type Step =
@@ -23,7 +23,7 @@
   /** Machines that there are, up or coming, of all shares together. */
   readonly machines: (type: string, zone: string, spot: boolean) => number;
   /** Those of the last round. */
-  readonly holds: readonly Hold[];
+  readonly holds: readonly Reservation[];
   /** Shares whose summary does not know yet of machines that were rented for it: nothing more is done for them,
    *  but what is being gathered goes on. */
   readonly behind: ReadonlySet<number>;
@@ -39,7 +39,7 @@
 }
 export interface Plan {
   readonly steps: readonly Step[];
-  readonly holds: readonly Hold[];
+  readonly holds: readonly Reservation[];
 }
 
 interface Offer {
@@ -60,11 +60,14 @@
   readonly free: { id: string; share: number }[];
 }
 
-type Place = Pick<Need, 'types' | 'zone' | 'spot' | 'cpus' | 'gpus' | 'memoryGb'>;
+type Place = Pick<UnmetDemand, 'types' | 'zone' | 'spot' | 'cpus' | 'gpus' | 'memoryGb'>;
 const demand = (need: Demand): Demand => ({ cpus: need.cpus, gpus: need.gpus, memoryGb: need.memoryGb });
 
 /** The machines that could serve a need, cheapest for each task first. */
-export const offers = (need: Need, input: Pick<PlanInput, 'catalog' | 'refused'>): readonly Offer[] => {
+export const offers = (
+  need: UnmetDemand,
+  input: Pick<PlanInput, 'catalog' | 'refused'>,
+): readonly Offer[] => {
   const list: Offer[] = [];
   for (const type of input.catalog.values()) {
     if (need.types !== null && !need.types.includes(type.name)) continue;
@@ -115,12 +118,12 @@
 };
 
 const holdOf = (
-  need: Need,
+  need: UnmetDemand,
   share: number,
   gang: WaitingGang,
   zone: string,
-  before: Hold | undefined,
-): Hold => ({
+  before: Reservation | undefined,
+): Reservation => ({
   share,
   job: gang.job,
   zone,
@@ -136,23 +139,23 @@
 
 class Planner {
   readonly steps: Step[] = [];
-  readonly holds: Hold[] = [];
+  readonly holds: Reservation[] = [];
   private readonly pools: readonly Pool[];
   /** Hundreds of gangs of few needs wait on the roughest days: what depends on the need alone is worked out once. */
-  private readonly offered = new Map<Need, readonly Offer[]>();
-  private readonly reached = new Map<Need, Map<string, number>>();
+  private readonly offered = new Map<UnmetDemand, readonly Offer[]>();
+  private readonly reached = new Map<UnmetDemand, Map<string, number>>();
   constructor(private readonly input: PlanInput) {
     this.pools = poolsOf(input);
   }
 
-  private offersOf(need: Need): readonly Offer[] {
+  private offersOf(need: UnmetDemand): readonly Offer[] {
     let list = this.offered.get(need);
     if (!list) this.offered.set(need, (list = offers(need, this.input)));
     return list;
   }
 
   /** Tasks of the need on free machines of other shares in the zone. A need belongs to one share. */
-  private reach(need: Need, share: number, zone: string): number {
+  private reach(need: UnmetDemand, share: number, zone: string): number {
     let zones = this.reached.get(need);
     if (!zones) this.reached.set(need, (zones = new Map<string, number>()));
     let room = zones.get(zone);
@@ -160,7 +163,7 @@
     return room;
   }
 
-  private countReach(need: Need, share: number, zone: string): number {
+  private countReach(need: UnmetDemand, share: number, zone: string): number {
     let room = 0;
     for (const pool of this.pools) {
       if (pool.zone !== zone) continue;
@@ -171,7 +174,7 @@
   }
 
   /** Moves free machines of other shares until nothing is missing or none is left; what is missing then. */
-  private gather(need: Need, share: number, zone: string | null, missing: number): number {
+  private gather(need: UnmetDemand, share: number, zone: string | null, missing: number): number {
     let left = missing;
     for (const pool of this.pools) {
       if (left <= 0) break;
@@ -189,7 +192,7 @@
     return left;
   }
 
-  private rent(need: Need, share: number, zone: string | null, missing: number): void {
+  private rent(need: UnmetDemand, share: number, zone: string | null, missing: number): void {
     for (const offer of this.offersOf(need)) {
       if (zone !== null && offer.zone !== zone) continue;
       // An ordinary machine for work that could use spot is worth its price only when filled.
@@ -213,7 +216,7 @@
   }
 
   /** Could the zone ever hold the gang, with the machines that are there already? */
-  private couldHold(need: Need, zone: string, tasks: number): boolean {
+  private couldHold(need: UnmetDemand, zone: string, tasks: number): boolean {
     let room = 0;
     for (const type of this.input.catalog.values()) {
       if (need.types !== null && !need.types.includes(type.name)) continue;
@@ -224,7 +227,12 @@
   }
 
   /** A one-zone gang needs its machines in one zone: complete the zone that lacks least, or begin a hold. */
-  private oneZoneGang(need: Need, share: number, gang: WaitingGang, room: Record<string, number>): void {
+  private oneZoneGang(
+    need: UnmetDemand,
+    share: number,
+    gang: WaitingGang,
+    room: Record<string, number>,
+  ): void {
     const held = this.input.holds.find((hold) => hold.share === share && hold.job === gang.job);
     const rentable = new Set(this.offersOf(need).map((offer) => offer.zone));
     const zones = new Set([...rentable, ...Object.keys(room), ...this.pools.map((pool) => pool.zone)]);
@@ -256,7 +264,7 @@
   }
 
   /** Work that needs no one zone, and yet has not begun since gangs are gathered for all the time. */
-  private starving(need: Need, share: number, gang: WaitingGang): void {
+  private starving(need: UnmetDemand, share: number, gang: WaitingGang): void {
     if (gang.waitedMs < gang.patienceMs || need.gang) return;
     const held = this.input.holds.find((hold) => hold.share === share && hold.job === gang.job);
     this.hold(need, share, gang, {}, new Set(), held);
@@ -264,19 +272,19 @@
 
   /** One a zone, so that two never block each other; bounded in time. */
   private hold(
-    need: Need,
+    need: UnmetDemand,
     share: number,
     gang: WaitingGang,
     room: Record<string, number>,
     zones: ReadonlySet<string>,
-    held: Hold | undefined,
+    held: Reservation | undefined,
   ): void {
     if (gang.waitedMs < gang.patienceMs) return;
     const open = (zone: string): boolean =>
       (need.zone === null || need.zone === zone) &&
       !this.holds.some((hold) => hold.zone === zone) &&
       this.couldHold(need, zone, gang.tasks);
-    let zone = held && held.ageMs < HOLD_MAX_MS && open(held.zone) ? held.zone : null;
+    let zone = held && held.ageMs < RESERVATION_MAX_MS && open(held.zone) ? held.zone : null;
     if (zone === null) {
       let least = Number.POSITIVE_INFINITY;
       const known = [...this.input.catalog.values()].flatMap((type) => type.zones);
@@ -298,8 +306,8 @@
   }
 
   run(): Plan {
-    const wanted: { share: number; need: Need; gang: WaitingGang | null; waitedMs: number }[] = [];
-    const rooms = new Map<Need, Record<string, number>>();
+    const wanted: { share: number; need: UnmetDemand; gang: WaitingGang | null; waitedMs: number }[] = [];
+    const rooms = new Map<UnmetDemand, Record<string, number>>();
     for (const summary of this.input.summaries) {
       for (const need of summary.needs) {
         const room = { ...need.room };
@@ -348,9 +356,9 @@
 
 /** Is a machine of this type, zone and kind among those that a hold gathers? */
 export const heldBy = (
-  holds: readonly Hold[],
+  holds: readonly Reservation[],
   machine: { readonly type: string; readonly zone: string; readonly spot: boolean; readonly total: Demand },
-): Hold | null => {
+): Reservation | null => {
   for (const hold of holds) {
     if (hold.zone !== machine.zone || (machine.spot && !hold.spot)) continue;
     if (!typeAllowed(hold, machine.type) || howMany(demand(hold), machine.total, 1) === 0) continue;
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -58,7 +58,7 @@
  * Free machines of one zone are gathered for a gang that found no zone with room: whatever comes free there, in
  * whichever share, goes to the gang's share and is left alone by work of its priority and below.
  */
-export interface Hold {
+export interface Reservation {
   readonly share: number;
   readonly job: string;
   readonly zone: string;
@@ -80,7 +80,7 @@
 }
 
 /** What a share still needs, as its holder tells the leader: one entry a class of like jobs. */
-export interface Need {
+export interface UnmetDemand {
   readonly cpus: number;
   readonly gpus: number;
   readonly memoryGb: number;
@@ -101,7 +101,7 @@
   readonly waitedMs: number;
 }
 
-export interface Spare {
+export interface SpareMachine {
   readonly id: string;
   readonly type: string;
   readonly zone: string;
@@ -114,7 +114,7 @@
   readonly claim: number;
   /** Revision of the shared keys that this summary reflects. */
   readonly revision: number;
-  readonly needs: readonly Need[];
+  readonly needs: readonly UnmetDemand[];
   /** Machines without any task. */
-  readonly spares: readonly Spare[];
+  readonly spares: readonly SpareMachine[];
 }
--- a/src/http.ts
+++ b/src/http.ts
@@ -6,7 +6,7 @@
   BODY_MAX_BYTES,
   CONNECTION_IDLE_MS,
   ONE_WRITE_BYTES,
-  SOCKETS_CROWDED,
+  CROWDED_SOCKET_SHARE,
 } from './constants.js';
 
 /** MessagePack over Node's own HTTP: one keep-alive agent per address, bounded sockets, bounded bodies. */
@@ -167,7 +167,7 @@
 ): Promise<http.Server> => {
   /** When each open connection was last used. */
   const used = new Map<Socket, number>();
-  const full = guests.connections * SOCKETS_CROWDED;
+  const full = guests.connections * CROWDED_SOCKET_SHARE;
   const server = http.createServer((req, res) => {
     used.set(req.socket, performance.now());
     const parts: Buffer[] = [];
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -1,14 +1,14 @@
 import * as Effect from 'effect/Effect';
-import { COPY_FRESH_MS, GANG_MAX_TASKS, LOOK_AT_ONCE, RETRY_AFTER_S, VALUE_FILL } from '../constants.js';
+import { CACHE_FRESH_MS, GANG_MAX_TASKS, FINAL_READS_MAX, RETRY_AFTER_S, VALUE_FILL } from '../constants.js';
 import type { Call, Reply } from '../http.js';
 import { quotaRoom, type Limit } from '../placement/pack.js';
 import { packIds, splitIds } from '../pipelines/codec.js';
 import type { Finals } from '../pipelines/finals.js';
 import type { Pipelines } from '../pipelines/pipelines.js';
 import type { Store, Write } from '../store/client.js';
-import type { FreshReads } from '../store/fresh.js';
+import type { LinearizableReads } from '../store/linearizable-reads.js';
 import { finalKey, followsKey, jobKey } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
+import type { WatchCache } from '../store/watch-cache.js';
 import {
   isJobId,
   jsonBytes,
@@ -30,8 +30,8 @@
 
 export interface ApiInput {
   readonly store: Store;
-  readonly fresh: FreshReads;
-  readonly mirror: Pick<Mirror, 'get'>;
+  readonly fresh: LinearizableReads;
+  readonly cache: Pick<WatchCache, 'get'>;
   readonly catalog: () => Catalog | null;
   readonly zones: readonly string[];
   readonly limits: ReadonlyMap<string, Limit>;
@@ -116,7 +116,7 @@
     return Effect.gen({ self: this }, function* () {
       const cached = this.input.finals.get(id);
       if (cached) return { _tag: 'final', final: cached } as const;
-      const copy = this.input.mirror.get(jobKey(id));
+      const copy = this.input.cache.get(jobKey(id));
       if (copy) {
         const freshness = yield* this.input.fresh.confirm(copy.key, copy.version);
         if (freshness === 'failed') return { _tag: 'unsure' } as const;
@@ -173,7 +173,7 @@
       const { record, version } = known;
       const stands = this.input.pipelines.readiness(id);
       if (stands._tag === 'waiting') {
-        if (this.input.copyAgeMs() > COPY_FRESH_MS) return later;
+        if (this.input.copyAgeMs() > CACHE_FRESH_MS) return later;
         if (!(yield* this.input.pipelines.resolve(id))) return later;
       }
       if (this.input.pipelines.readiness(id)._tag !== 'doomed') {
@@ -203,8 +203,8 @@
   private accepted(ids: readonly string[]): Effect.Effect<'all' | 'unsure' | { readonly never: string }> {
     return Effect.gen({ self: this }, function* () {
       // What this node's copy shows was accepted; only of the others it must be read.
-      const others = ids.filter((id) => !this.input.mirror.get(jobKey(id)) && !this.input.finals.get(id));
-      const looks = yield* Effect.forEach(others, (id) => this.look(id), { concurrency: LOOK_AT_ONCE });
+      const others = ids.filter((id) => !this.input.cache.get(jobKey(id)) && !this.input.finals.get(id));
+      const looks = yield* Effect.forEach(others, (id) => this.look(id), { concurrency: FINAL_READS_MAX });
       const never = others.find((_, index) => looks[index]?._tag === 'never');
       if (never !== undefined) return { never };
       return looks.some((known) => known._tag === 'unsure') ? 'unsure' : 'all';
--- a/src/jobs/follows.test.ts
+++ b/src/jobs/follows.test.ts
@@ -5,7 +5,7 @@
 import { Finals } from '../pipelines/finals.js';
 import type { Readiness } from '../pipelines/graph.js';
 import { Store } from '../store/client.js';
-import { FreshReads } from '../store/fresh.js';
+import { LinearizableReads } from '../store/linearizable-reads.js';
 import { submission } from '../testing/bodies.js';
 import { UsersApi } from './api.js';
 import { writeFinalRecord, writeJobRecord } from './codec.js';
@@ -170,7 +170,7 @@
     );
     const api = new UsersApi({
       store,
-      fresh: new FreshReads(store),
+      fresh: new LinearizableReads(store),
       finals: new Finals(store),
       pipelines: {
         readiness: () => row.stands ?? { _tag: 'ready', since: 0 },
@@ -180,7 +180,7 @@
       valueBytes: 2048,
       copyAgeMs: () => (row.stale === true ? 60_000 : 0),
       assured: () => Effect.succeed(true),
-      mirror: { get: () => undefined },
+      cache: { get: () => undefined },
       catalog: () => catalog,
       zones: ['a'],
       limits: new Map([['red', { cpusMax: 0, gpusMax: 8 }]]),
--- a/src/layout.test.ts
+++ b/src/layout.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Hold, Need, Spare, Summary } from './fleet/records.js';
+import type { Reservation, UnmetDemand, SpareMachine, Summary } from './fleet/records.js';
 import { readMachineRecord, writeMachineRecord, type MachineRecord } from './fleet/records.js';
 import { readFinalRecord, readJobRecord, writeFinalRecord, writeJobRecord } from './jobs/codec.js';
 import type { JobRecord, JobSpec } from './jobs/model.js';
-import type { Beat } from './mesh/mesh.js';
+import type { Heartbeat } from './peers/network.js';
 import { prepared, readRunRecord, storeRun, validating, type RunRecord } from './placement/records.js';
 import { compose } from './service.js';
 import * as keys from './store/keys.js';
@@ -248,8 +248,8 @@
   gangs: [{ job: 'job-1', tasks: 2, waitedMs: 5, patienceMs: 9 }],
   room: { x: 1 },
   waitedMs: 5,
-} satisfies Need;
-const spare = { id: 'i-1', type: 'g', zone: 'x', spot: false, idleS: 3 } satisfies Spare;
+} satisfies UnmetDemand;
+const spare = { id: 'i-1', type: 'g', zone: 'x', spot: false, idleS: 3 } satisfies SpareMachine;
 const summary = { share: 1, claim: 7, revision: 9, needs: [need], spares: [spare] } satisfies Summary;
 const hold = {
   share: 1,
@@ -263,7 +263,7 @@
   tasks: 2,
   priority: 1,
   ageMs: 4,
-} satisfies Hold;
+} satisfies Reservation;
 const earlierBeat = {
   from: 'n1',
   incarnation: 'n1.1',
@@ -275,7 +275,7 @@
   strays: { '0': 2 },
   demand: { requests: 1, changes: 2 },
   holds: [hold],
-} satisfies Beat;
+} satisfies Heartbeat;
 
 const BEAT =
   '{"from":"n1","incarnation":"n1.1","lease":3,"stateAgeMs":20,"summaries":[{"share":1,"claim":7,"revision":9,' +
@@ -294,9 +294,9 @@
     wall: () => 1_000,
     incarnation: 'n0.1',
     callers: () => ({ request: () => Promise.resolve({ _tag: 'silence', why: 'none' }) }),
-    line: { send: () => Promise.resolve({ _tag: 'unsure' }) },
+    workerClient: { send: () => Promise.resolve({ _tag: 'unsure' }) },
   });
-  const reply = await controller.mesh({
+  const reply = await controller.peerRoute({
     method: 'POST',
     path: '/beat',
     query: '',
--- a/src/meetings.test.ts
+++ b/src/meetings.test.ts
@@ -133,7 +133,7 @@
       [59, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.up(node))],
     ],
   },
-  // 8. Cut from state and siblings a holder is silent when its lease may be over, so its workers let go in time.
+  // 8. Cut from state and peers a holder is silent when its lease may be over, so its workers let go in time.
   {
     name: 'the holder loses the state and its siblings, not its workers; jobs are cancelled through the new one',
     seed: 38,
@@ -186,7 +186,7 @@
       [44, (day) => ['n0', 'n1', 'n2'].forEach((node) => day.cluster.up(node))],
     ],
   },
-  // 13. A copy from before is heeded neither by the holder that saw newer ones nor by one that saw none.
+  // 13. A copy from before is acknowledged neither by the holder that saw newer ones nor by one that saw none.
   {
     name: 'old reports after newer ones, from earlier sessions and attempts, across takeovers',
     seed: 43,
--- a/src/mesh/mesh.test.ts
+++ b/src/peers/network.test.ts
@@ -3,10 +3,10 @@
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import type { Answer, Reply } from '../http.js';
-import { Mesh, type Beat } from './mesh.js';
+import { PeerNetwork, type Heartbeat } from './network.js';
 
-/** Beats between two nodes on a virtual clock: how many exchanges, and how fresh each stays. */
-const beatOf = (from: string): Beat => ({
+/** Heartbeats between two nodes on a virtual clock: how many exchanges, and how fresh each stays. */
+const beatOf = (from: string): Heartbeat => ({
   from,
   incarnation: '1',
   lease: 1,
@@ -28,7 +28,7 @@
   readonly exchanges: readonly [least: number, most: number];
 }
 const rows: readonly Row[] = [
-  // An answer to a beat is a beat too: were both to begin, each would hear everything twice.
+  // An answer to a heartbeat is a heartbeat too: were both to begin, each would hear everything twice.
   { name: 'one exchange a beat does for both', refused: [], hurries: false, exchanges: [18, 22] },
   {
     name: 'the other begins where the first is refused',
@@ -43,13 +43,13 @@
   test(`mesh: ${row.name}`, async () => {
     mock.timers.enable({ apis: ['setTimeout', 'Date', 'setInterval'] });
     try {
-      const meshes = new Map<string, Mesh>();
+      const meshes = new Map<string, PeerNetwork>();
       let exchanges = 0;
-      const make = (me: string, other: string): Mesh =>
-        new Mesh({
+      const make = (me: string, other: string): PeerNetwork =>
+        new PeerNetwork({
           me,
-          siblings: [{ host_name: other, endpoint: `${other}:1` }],
-          beat: () => beatOf(me),
+          peers: [{ host_name: other, endpoint: `${other}:1` }],
+          heartbeat: () => beatOf(me),
           leader: () => 'a',
           now: () => Date.now(),
           answer: () => Promise.resolve(null),
@@ -72,7 +72,7 @@
       for (let at = 0; at < 20_000; at += 20) {
         for (let k = 0; k < 6; k += 1) await new Promise((resolve) => setImmediate(resolve));
         mock.timers.tick(20);
-        if (row.hurries && at % 400 === 0) meshes.get('b')?.hurry();
+        if (row.hurries && at % 400 === 0) meshes.get('b')?.notifyLeader();
         if (at > 2_000 && (!meshes.get('a')?.fresh('b') || !meshes.get('b')?.fresh('a'))) stale += 1;
       }
       assert.equal(stale, 0, 'both stay fresh');
--- a/src/mesh/mesh.ts
+++ b/src/peers/network.ts
@@ -1,20 +1,20 @@
 import * as Effect from 'effect/Effect';
 import {
-  BEAT_DUE,
-  BEAT_FRESH_MS,
-  BEAT_HURRY_MS,
-  BEAT_MS,
-  BEAT_OTHER,
-  BUDGET_EVEN,
-  MESH_TIMEOUT_MS,
-  SOCKETS_MESH,
+  HEARTBEAT_DUE_FRACTION,
+  HEARTBEAT_FRESH_MS,
+  HEARTBEAT_NOTIFY_MS,
+  HEARTBEAT_MS,
+  HEARTBEAT_RESPONDER_FACTOR,
+  RATE_EVEN_FRACTION,
+  PEER_TIMEOUT_MS,
+  PEER_SOCKETS,
 } from '../constants.js';
-import type { Sibling } from '../claims/decide.js';
-import type { Hold, Summary } from '../fleet/records.js';
+import type { Peer } from '../claims/decide.js';
+import type { Reservation, Summary } from '../fleet/records.js';
 import { parseTarget, type Call, type Caller, type Callers, type Reply } from '../http.js';
 
-/** What the service's own processes say to each other: MessagePack over HTTP, on the mesh address. */
-export interface Beat {
+/** What the service's own processes say to each other: MessagePack over HTTP, on the peer address. */
+export interface Heartbeat {
   readonly from: string;
   readonly incarnation: string;
   /** What this node understands (`level.ts`); versions before that don't say. */
@@ -35,7 +35,7 @@
   /** What this node asks of the state service, a second. */
   readonly demand: Demand;
   /** The leader's: machines that are being gathered for a large gang. */
-  readonly holds: readonly Hold[];
+  readonly holds: readonly Reservation[];
 }
 
 export interface Demand {
@@ -44,22 +44,22 @@
 }
 
 interface Known {
-  beat: Beat;
+  heartbeat: Heartbeat;
   at: number;
   steadySince: number;
   /** By share and job, made when first asked for. */
   counts: Map<number, Map<string, { done: number; running: number }>> | null;
 }
 
-export interface MeshInput {
+export interface PeerNetworkInput {
   readonly me: string;
-  readonly siblings: readonly { readonly host_name: string; readonly endpoint: string }[];
-  readonly beat: (to: string) => Beat;
-  /** The node that leads, as far as this node knows; its beats are hurried. */
+  readonly peers: readonly { readonly host_name: string; readonly endpoint: string }[];
+  readonly heartbeat: (to: string) => Heartbeat;
+  /** The node that leads, as far as this node knows; its heartbeats are hurried. */
   readonly leader: () => string | undefined;
   readonly now: () => number;
   readonly callers: Callers;
-  /** Answers a sibling's request that is not a beat. */
+  /** Answers a peer's request that is not a heartbeat. */
   readonly answer: (path: string, body: unknown) => Promise<unknown>;
 }
 
@@ -71,87 +71,87 @@
   const nodes = others.length + 1;
   const all = others.reduce((sum, demand) => sum + demand, own);
   const byDemand = all > 0 ? own / all : 1 / nodes;
-  return total * (BUDGET_EVEN / nodes + (1 - BUDGET_EVEN) * byDemand);
+  return total * (RATE_EVEN_FRACTION / nodes + (1 - RATE_EVEN_FRACTION) * byDemand);
 };
 
-export class Mesh {
+export class PeerNetwork {
   private readonly clients = new Map<string, Caller>();
   private readonly known = new Map<string, Known>();
   private readonly wakes = new Map<string, () => void>();
-  /** Siblings that are to hear of something at once. */
-  private readonly hurried = new Set<string>();
+  /** Peers that are to hear of something at once. */
+  private readonly notified = new Set<string>();
 
-  constructor(private readonly input: MeshInput) {
-    for (const sibling of input.siblings) {
-      this.clients.set(sibling.host_name, input.callers(parseTarget(sibling.endpoint), SOCKETS_MESH));
+  constructor(private readonly input: PeerNetworkInput) {
+    for (const sibling of input.peers) {
+      this.clients.set(sibling.host_name, input.callers(parseTarget(sibling.endpoint), PEER_SOCKETS));
     }
   }
 
   private note(value: unknown): void {
-    const beat = value as Beat;
+    const beat = value as Heartbeat;
     if (typeof beat?.from !== 'string' || !this.clients.has(beat.from)) return;
     const now = this.input.now();
     const before = this.known.get(beat.from);
     const steady =
       before !== undefined &&
-      before.beat.incarnation === beat.incarnation &&
-      now - before.at < BEAT_FRESH_MS * 2;
+      before.heartbeat.incarnation === beat.incarnation &&
+      now - before.at < HEARTBEAT_FRESH_MS * 2;
     this.known.set(beat.from, {
-      beat,
+      heartbeat: beat,
       at: now,
       steadySince: steady ? before.steadySince : now,
       counts: null,
     });
   }
 
-  fresh(node: string): Beat | null {
+  fresh(node: string): Heartbeat | null {
     const known = this.known.get(node);
-    return known && this.input.now() - known.at < BEAT_FRESH_MS ? known.beat : null;
+    return known && this.input.now() - known.at < HEARTBEAT_FRESH_MS ? known.heartbeat : null;
   }
 
-  siblings(): readonly Sibling[] {
+  peers(): readonly Peer[] {
     const now = this.input.now();
     return [...this.known].map(([node, known]) => ({
       node,
-      incarnation: known.beat.incarnation,
-      lease: known.beat.lease,
-      steadyMs: now - known.at < BEAT_FRESH_MS ? now - known.steadySince : -1,
-      stateOk: known.beat.stateAgeMs < BEAT_FRESH_MS,
-      deaf: known.beat.deaf,
+      incarnation: known.heartbeat.incarnation,
+      lease: known.heartbeat.lease,
+      steadyMs: now - known.at < HEARTBEAT_FRESH_MS ? now - known.steadySince : -1,
+      stateOk: known.heartbeat.stateAgeMs < HEARTBEAT_FRESH_MS,
+      deaf: known.heartbeat.deaf,
     }));
   }
 
-  /** Siblings that say, freshly, that they can't reach the state service; and those that can. */
-  stateWord(): { readonly down: number; readonly up: number } {
+  /** Peers that say, freshly, that they can't reach the state service; and those that can. */
+  stateReachability(): { readonly down: number; readonly up: number } {
     let down = 0;
     let up = 0;
     for (const node of this.clients.keys()) {
       const beat = this.fresh(node);
       if (!beat) continue;
-      if (beat.stateAgeMs < BEAT_FRESH_MS) up += 1;
+      if (beat.stateAgeMs < HEARTBEAT_FRESH_MS) up += 1;
       else down += 1;
     }
     return { down, up };
   }
 
-  /** Every sibling says, freshly, that it can't reach the state service. */
+  /** Every peer says, freshly, that it can't reach the state service. */
   allDown(): boolean {
-    return this.stateWord().down === this.clients.size;
+    return this.stateReachability().down === this.clients.size;
   }
 
   allHeard(): boolean {
     return [...this.clients.keys()].every((node) => this.fresh(node) !== null);
   }
 
-  /** What each sibling last announced that it understands; null: it was never heard. */
+  /** What each peer last announced that it understands; null: it was never heard. */
   announced(): readonly (number | null)[] {
     return [...this.clients.keys()].map((node) => {
       const known = this.known.get(node);
-      return known ? (known.beat.level ?? 0) : null;
+      return known ? (known.heartbeat.level ?? 0) : null;
     });
   }
 
-  /** Does a sibling that is heard understand this much? */
+  /** Does a peer that is heard understand this much? */
   understands(node: string, level: number): boolean {
     return (this.fresh(node)?.level ?? 0) >= level;
   }
@@ -160,20 +160,20 @@
     return [...this.clients.keys()].flatMap((node) => this.fresh(node)?.summaries ?? []);
   }
 
-  /** What each sibling last said that it asks of the state service. */
+  /** What each peer last said that it asks of the state service. */
   demands(): readonly Demand[] {
     return [...this.clients.keys()].map(
-      (node) => this.known.get(node)?.beat.demand ?? { requests: 0, changes: 0 },
+      (node) => this.known.get(node)?.heartbeat.demand ?? { requests: 0, changes: 0 },
     );
   }
 
-  /** What a job's holder said of its tasks with its last beat; null: nothing, or not lately. */
+  /** What a job's holder said of its tasks with its last heartbeat; null: nothing, or not lately. */
   counts(slot: number, id: string): { done: number; running: number } | null {
     const now = this.input.now();
     for (const known of this.known.values()) {
-      if (now - known.at > BEAT_FRESH_MS) continue;
+      if (now - known.at > HEARTBEAT_FRESH_MS) continue;
       known.counts ??= new Map(
-        known.beat.counts.map((share) => [
+        known.heartbeat.counts.map((share) => [
           share.slot,
           new Map(share.jobs.map(([job, done, running]) => [job, { done, running }])),
         ]),
@@ -193,7 +193,7 @@
     return best;
   }
 
-  async ask(node: string, path: string, body: unknown, timeoutMs = MESH_TIMEOUT_MS): Promise<unknown> {
+  async ask(node: string, path: string, body: unknown, timeoutMs = PEER_TIMEOUT_MS): Promise<unknown> {
     const answer = await this.clients.get(node)?.request('POST', path, body, timeoutMs);
     return answer?._tag === 'answer' && answer.status === 200 ? answer.body : null;
   }
@@ -202,21 +202,21 @@
     const body = call.body._tag === 'value' ? call.body.value : null;
     if (call.path === '/beat') {
       this.note(body);
-      const from = (body as Partial<Beat> | null)?.from;
-      return { status: 200, body: this.input.beat(typeof from === 'string' ? from : '') };
+      const from = (body as Partial<Heartbeat> | null)?.from;
+      return { status: 200, body: this.input.heartbeat(typeof from === 'string' ? from : '') };
     }
     const result = await this.input.answer(call.path, body);
     return result === null ? { status: 404 } : { status: 200, body: result };
   }
 
-  /** Sends the leader a beat soon, since something changed that it decides about. */
-  hurry(): void {
+  /** Sends the leader a heartbeat soon, since something changed that it decides about. */
+  notifyLeader(): void {
     const leader = this.input.leader();
     if (leader !== undefined) this.wakes.get(leader)?.();
   }
 
   private waitMs(node: string): number {
-    return BEAT_MS * (this.input.me < node ? 1 : BEAT_OTHER);
+    return HEARTBEAT_MS * (this.input.me < node ? 1 : HEARTBEAT_RESPONDER_FACTOR);
   }
 
   /** ms until this node would begin an exchange with that one. */
@@ -224,8 +224,8 @@
     const known = this.known.get(node);
     const age = known ? this.input.now() - known.at : 0;
     const wait = this.waitMs(node);
-    // One that does not answer is tried every beat.
-    return age >= wait ? BEAT_MS : Math.max(BEAT_HURRY_MS / 4, wait - age);
+    // One that does not answer is tried every heartbeat.
+    return age >= wait ? HEARTBEAT_MS : Math.max(HEARTBEAT_NOTIFY_MS / 4, wait - age);
   }
 
   private pause(node: string): Promise<void> {
@@ -234,29 +234,29 @@
       const begun = this.input.now();
       this.wakes.set(node, () => {
         this.wakes.delete(node);
-        this.hurried.add(node);
+        this.notified.add(node);
         clearTimeout(timer);
-        setTimeout(resolve, Math.max(0, BEAT_HURRY_MS - (this.input.now() - begun)));
+        setTimeout(resolve, Math.max(0, HEARTBEAT_NOTIFY_MS - (this.input.now() - begun)));
       });
     });
   }
 
-  /** Each answers a beat with its own, so of two nodes one need begin: the other does when it was not heard in time. */
+  /** Each answers a heartbeat with its own, so of two nodes one need begin: the other does when it was not heard in time. */
   private due(node: string): boolean {
     const known = this.known.get(node);
-    if (known === undefined || this.hurried.delete(node)) return true;
-    return this.input.now() - known.at >= this.waitMs(node) * BEAT_DUE;
+    if (known === undefined || this.notified.delete(node)) return true;
+    return this.input.now() - known.at >= this.waitMs(node) * HEARTBEAT_DUE_FRACTION;
   }
 
-  private beatTo(node: string): Effect.Effect<never> {
+  private exchangeWith(node: string): Effect.Effect<never> {
     return Effect.promise(async () => {
-      if (this.due(node)) this.note(await this.ask(node, '/beat', this.input.beat(node)));
+      if (this.due(node)) this.note(await this.ask(node, '/beat', this.input.heartbeat(node)));
     }).pipe(Effect.andThen(Effect.promise(() => this.pause(node))), Effect.forever);
   }
 
   get run(): Effect.Effect<unknown> {
     return Effect.all(
-      [...this.clients.keys()].map((node) => this.beatTo(node)),
+      [...this.clients.keys()].map((node) => this.exchangeWith(node)),
       { concurrency: 'unbounded' },
     );
   }
--- a/src/mesh/level.ts
+++ b/src/peers/protocol-version.ts
@@ -1,42 +1,42 @@
 import * as Effect from 'effect/Effect';
-import { LEVEL, LEVEL_MS } from '../constants.js';
+import { PROTOCOL_VERSION, PROTOCOL_VERSION_CHECK_MS } from '../constants.js';
 import { log } from '../log.js';
 import type { Store } from '../store/client.js';
 import { LEVEL_KEY } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
+import type { WatchCache } from '../store/watch-cache.js';
 
 /**
  * What all nodes understand. During an upgrade nodes of two versions serve together, and one that dies before its turn
  * comes back old; once each has announced the new version there is no turn left, and that is recorded for good.
  */
-export interface LevelInput {
+export interface ProtocolVersionInput {
   readonly store: Store;
-  readonly mirror: Pick<Mirror, 'get' | 'ready'>;
+  readonly cache: Pick<WatchCache, 'get' | 'ready'>;
   /** What each other node last announced; null: one was never heard. */
   readonly announced: () => readonly (number | null)[];
 }
 
-export class Level {
-  constructor(private readonly input: LevelInput) {}
+export class ProtocolVersion {
+  constructor(private readonly input: ProtocolVersionInput) {}
 
   /** Every node of the deployment understands at least this much, now and from now on. */
   get agreed(): number {
-    const item = this.input.mirror.get(LEVEL_KEY);
+    const item = this.input.cache.get(LEVEL_KEY);
     return item ? (item.value as { v: number }).v : 0;
   }
 
   readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
     for (;;) {
-      yield* Effect.sleep(LEVEL_MS);
-      if (!this.input.mirror.ready || this.agreed >= LEVEL) continue;
-      if (this.input.announced().some((level) => level === null || level < LEVEL)) continue;
-      const version = this.input.mirror.get(LEVEL_KEY)?.version ?? 0;
+      yield* Effect.sleep(PROTOCOL_VERSION_CHECK_MS);
+      if (!this.input.cache.ready || this.agreed >= PROTOCOL_VERSION) continue;
+      if (this.input.announced().some((level) => level === null || level < PROTOCOL_VERSION)) continue;
+      const version = this.input.cache.get(LEVEL_KEY)?.version ?? 0;
       const result = yield* this.input.store.txn(
         [{ key: LEVEL_KEY, version }],
-        [{ _tag: 'put', key: LEVEL_KEY, value: { v: LEVEL } }],
+        [{ _tag: 'put', key: LEVEL_KEY, value: { v: PROTOCOL_VERSION } }],
         'user',
       );
-      log.info({ event: 'level.agreed', level: LEVEL, result: result._tag });
+      log.info({ event: 'level.agreed', level: PROTOCOL_VERSION, result: result._tag });
     }
   });
 }
--- a/src/mesh/detour.ts
+++ b/src/peers/store-relay.ts
@@ -1,6 +1,6 @@
 import * as Effect from 'effect/Effect';
-import { DETOUR_FRESH_MS, DETOUR_MS, VALUE_FILL } from '../constants.js';
-import type { Hold, Move, Summary } from '../fleet/records.js';
+import { RELAY_FRESH_MS, RELAY_MS, VALUE_FILL } from '../constants.js';
+import type { Reservation, Move, Summary } from '../fleet/records.js';
 import type { Store, StoreEvent } from '../store/client.js';
 import { ordersKey, summaryKey } from '../store/keys.js';
 
@@ -8,7 +8,7 @@
  * The slow way between a share's holder and the leader when their connections are refused: summaries and orders
  * through the state service, few and small. Nothing here gives any right; what is done is conditional as always.
  */
-export interface DetourInput {
+export interface StoreRelayInput {
   readonly store: Store;
   /** bytes: largest value of a key. */
   readonly valueBytes: number;
@@ -23,16 +23,16 @@
 interface Orders {
   readonly leader: number;
   readonly moves: readonly Move[];
-  readonly holds: readonly Hold[];
+  readonly holds: readonly Reservation[];
 }
 
-export class Detour {
+export class StoreRelay {
   private readonly heard = new Map<number, { summary: Summary; at: number }>();
   private readonly told = new Map<number, { orders: Orders; at: number }>();
   private readonly wroteAt = new Map<string, number>();
   private readonly lastSaid = new Map<number, string>();
 
-  constructor(private readonly input: DetourInput) {}
+  constructor(private readonly input: StoreRelayInput) {}
 
   onEvent(event: StoreEvent): void {
     if (event._tag !== 'put') return;
@@ -51,18 +51,18 @@
   /** What a share's holder last said this way, if that is recent and by this very claim. */
   summary(slot: number, claim: number): Summary | null {
     const heard = this.heard.get(slot);
-    return heard && heard.summary.claim === claim && this.input.now() - heard.at < DETOUR_FRESH_MS
+    return heard && heard.summary.claim === claim && this.input.now() - heard.at < RELAY_FRESH_MS
       ? heard.summary
       : null;
   }
 
-  holds(slot: number): readonly Hold[] {
+  holds(slot: number): readonly Reservation[] {
     const told = this.told.get(slot);
-    return told && this.input.now() - told.at < DETOUR_FRESH_MS ? told.orders.holds : [];
+    return told && this.input.now() - told.at < RELAY_FRESH_MS ? told.orders.holds : [];
   }
 
   private due(key: string): boolean {
-    return this.input.now() - (this.wroteAt.get(key) ?? Number.NEGATIVE_INFINITY) >= DETOUR_MS;
+    return this.input.now() - (this.wroteAt.get(key) ?? Number.NEGATIVE_INFINITY) >= RELAY_MS;
   }
 
   private write(key: string, value: unknown): Effect.Effect<unknown> {
@@ -71,7 +71,7 @@
   }
 
   /** The leader's orders for a share whose holder it can't reach. */
-  order(slot: number, moves: readonly Move[], holds: readonly Hold[]): Effect.Effect<unknown> {
+  order(slot: number, moves: readonly Move[], holds: readonly Reservation[]): Effect.Effect<unknown> {
     const leader = this.input.leaderClaim();
     const key = ordersKey(slot);
     if (leader === null || !this.due(key)) return Effect.void;
@@ -113,7 +113,7 @@
 
   readonly run: Effect.Effect<never> = Effect.gen({ self: this }, function* () {
     for (;;) {
-      yield* Effect.sleep(DETOUR_MS / 2);
+      yield* Effect.sleep(RELAY_MS / 2);
       for (const summary of this.input.cutOff()) {
         const key = summaryKey(summary.share);
         if (!this.due(key)) continue;
--- a/src/pipelines/pipelines.ts
+++ b/src/pipelines/pipelines.ts
@@ -1,14 +1,14 @@
 import * as Effect from 'effect/Effect';
-import { LOOK_AT_ONCE, LOOK_MS, STAGE_EXTRA_MS } from '../constants.js';
+import { FINAL_READS_MAX, FINAL_READS_PAUSE_MS, STAGE_EXTRA_MS } from '../constants.js';
 import type { FinalRecord, JobRecord } from '../jobs/model.js';
 import { log } from '../log.js';
 import { jobKey } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
+import type { WatchCache } from '../store/watch-cache.js';
 import type { Finals } from './finals.js';
 import { PipelineIndex, type Outcome, type Readiness, type Standing } from './graph.js';
 
 export interface PipelinesInput {
-  readonly mirror: Pick<Mirror, 'get'>;
+  readonly cache: Pick<WatchCache, 'get'>;
   readonly finals: Finals;
   /** Does this node decide about the job: is it to know at once what became of those that it follows? */
   readonly ours: (team: string) => boolean;
@@ -76,7 +76,7 @@
     for (const dep of [...this.index.openOf(id)]) {
       const final = this.input.finals.get(dep);
       if (final) this.settle(dep, final);
-      else if (!this.index.has(dep) && !this.input.mirror.get(jobKey(dep)) && this.input.ours(team))
+      else if (!this.index.has(dep) && !this.input.cache.get(jobKey(dep)) && this.input.ours(team))
         this.want(dep);
     }
   }
@@ -107,10 +107,10 @@
       for (const job of before) {
         for (const dep of this.index.openOf(job)) {
           if (this.index.has(dep)) before.add(dep);
-          else if (!this.input.mirror.get(jobKey(dep))) over.push(dep);
+          else if (!this.input.cache.get(jobKey(dep))) over.push(dep);
         }
       }
-      const reads = yield* Effect.forEach(over, (dep) => this.read(dep), { concurrency: LOOK_AT_ONCE });
+      const reads = yield* Effect.forEach(over, (dep) => this.read(dep), { concurrency: FINAL_READS_MAX });
       return reads.every(Boolean);
     });
   }
@@ -137,11 +137,11 @@
             }),
         );
       this.wake = null;
-      const ids = [...this.toRead].slice(0, LOOK_AT_ONCE);
+      const ids = [...this.toRead].slice(0, FINAL_READS_MAX);
       yield* Effect.forEach(ids, (id) => this.read(id), { concurrency: 'unbounded' });
       // What could not be read goes behind the others.
       for (const id of ids) if (this.toRead.delete(id)) this.toRead.add(id);
-      yield* Effect.sleep(LOOK_MS);
+      yield* Effect.sleep(FINAL_READS_PAUSE_MS);
     }
   });
 }
--- a/src/placement/gang.test.ts
+++ b/src/placement/gang.test.ts
@@ -3,7 +3,7 @@
 import type { Answer } from '../http.js';
 import { Store } from '../store/client.js';
 import { parseRunKey, runKey, runPartKey } from '../store/keys.js';
-import { Book } from './book.js';
+import { ShareState } from './share-state.js';
 import { chunkOf, counts, partsOf, readRunRecord, validAttempt } from './records.js';
 import { Writer } from './writer.js';
 
@@ -38,7 +38,7 @@
     () => 0,
     () => ({ request }),
   );
-  const book = new Book({ now: () => 0, wall: () => 0, poke: () => undefined });
+  const shareState = new ShareState({ now: () => 0, wall: () => 0, poke: () => undefined });
   const writer = new Writer({
     store,
     slot: 0,
@@ -49,7 +49,7 @@
     lost: () => undefined,
     isLost: () => false,
   });
-  const job = book.adoptJob(
+  const job = shareState.adoptJob(
     {
       spec: {
         id: 'job-1',
@@ -95,8 +95,8 @@
     };
     // No two side by side on one machine: the longest that a run can be.
     const id = `i-${String(index).padStart(9, '0')}`;
-    const machine = book.addMachine(id, record, 2, { cpus: 1, gpus: 0, memoryGb: 1 });
-    book.bind(job, index, 3, machine, { _tag: 'binding' });
+    const machine = shareState.addMachine(id, record, 2, { cpus: 1, gpus: 0, memoryGb: 1 });
+    shareState.bind(job, index, 3, machine, { _tag: 'binding' });
   }
   const chunks = Array.from({ length: chunkOf(TASKS - 1) + 1 }, (_, chunk) => chunk);
   const bound = await writer.commitGang(
--- a/src/placement/custody.ts
+++ b/src/placement/machine-liveness.ts
@@ -4,9 +4,9 @@
   BOOT_USUAL,
   BOOT_USUAL_S,
   CLOCK_DRIFT,
-  DEAF_REPORTS,
-  GREET_MS,
-  HELD_IDLE,
+  UNREACHABLE_REPORTS,
+  TRANSFER_CONTACT_MS,
+  IDLE_KEPT_LONGER,
   IDLE_BOOTS,
   IDLE_BOOTS_MANY,
   IDLE_RETURN_S,
@@ -20,7 +20,7 @@
 
 /** What may be said of a share's machines from when they reported. Pure but for the clocks handed in, which walks over all
  *  machines read once. */
-export interface CustodyInput {
+export interface MachineLivenessInput {
   readonly machines: ReadonlyMap<string, ShareMachine>;
   readonly catalog: () => Catalog | null;
   readonly workers: { readonly lease_s: number; readonly report_s: number; readonly cancel_s: number };
@@ -28,7 +28,7 @@
   readonly wall: () => number;
 }
 
-export class Custody {
+export class MachineLiveness {
   /** ms: when this holder had read the share's runs; null: not yet. */
   loadedAt: number | null = null;
   readonly deafMs: number;
@@ -39,9 +39,9 @@
   /** The full lease, with drift, that this holder must see pass after its last answer. */
   readonly leaseMs: number;
 
-  constructor(private readonly input: CustodyInput) {
+  constructor(private readonly input: MachineLivenessInput) {
     const reportMs = input.workers.report_s * 1000;
-    this.deafMs = reportMs * DEAF_REPORTS;
+    this.deafMs = reportMs * UNREACHABLE_REPORTS;
     this.rebuildMs = reportMs * REBUILD_REPORTS;
     this.spotSilentMs = reportMs * SPOT_SILENT_REPORTS;
     this.returnMs = input.workers.cancel_s * 1000 - RETURN_RESERVE_MS;
@@ -65,7 +65,7 @@
   expected(machine: ShareMachine, now: number, wall: number): boolean {
     // It came from another share, where it was up and free: its worker is just being told.
     if (machine.addr !== '' && machine.answeredAt === null && machine.confirmedToken === 0)
-      return now - machine.takenAt < GREET_MS;
+      return now - machine.takenAt < TRANSFER_CONTACT_MS;
     return (
       this.booting(machine, wall) &&
       wall - machine.since < (this.bootS(machine, 0) * BOOT_USUAL + BOOT_USUAL_S) * 1000
@@ -182,7 +182,7 @@
     for (const group of idle.values()) {
       group.sort((a, b) => (b.idleSince ?? 0) - (a.idleSince ?? 0));
       group.forEach((machine, rank) => {
-        const boots = rank < HELD_IDLE ? IDLE_BOOTS : IDLE_BOOTS_MANY;
+        const boots = rank < IDLE_KEPT_LONGER ? IDLE_BOOTS : IDLE_BOOTS_MANY;
         const holdMs = Math.max(IDLE_RETURN_S, this.bootS(machine, 0) * boots) * 1000;
         if (now - (machine.idleSince ?? now) > holdMs) list.push({ machine, why: 'idle' });
       });
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -1,7 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../jobs/model.js';
-import { order, packAll, quotaRoom, type Ask, type Limit, type Room } from './pack.js';
+import {
+  order,
+  packAll,
+  quotaRoom,
+  type PlacementRequest,
+  type Limit,
+  type AvailableCapacity,
+} from './pack.js';
 
 const spec = (over: Partial<JobSpec>): JobSpec => ({
   id: 'job-1',
@@ -26,7 +33,7 @@
   deadlineS: null,
   ...over,
 });
-const ask = (over: Partial<JobSpec>, rest: Partial<Ask> = {}): Ask => {
+const ask = (over: Partial<JobSpec>, rest: Partial<PlacementRequest> = {}): PlacementRequest => {
   const made = spec(over);
   return {
     job: made.id,
@@ -43,7 +50,12 @@
     ...rest,
   };
 };
-const room = (id: string, zone: string, freeGpus: number, over: Partial<Room> = {}): Room => ({
+const room = (
+  id: string,
+  zone: string,
+  freeGpus: number,
+  over: Partial<AvailableCapacity> = {},
+): AvailableCapacity => ({
   id,
   type: 'g',
   zone,
@@ -61,8 +73,8 @@
 
 const rows: readonly {
   name: string;
-  asks: readonly Ask[];
-  rooms: readonly Room[];
+  asks: readonly PlacementRequest[];
+  rooms: readonly AvailableCapacity[];
   limit?: Limit;
   used?: number;
   puts: readonly string[];
@@ -245,7 +257,7 @@
   test(`quota: ${row.name}`, () => assert.equal(quotaRoom(row.need, row.limit, row.use, 50), row.room));
 }
 
-const orders: readonly { name: string; asks: readonly Ask[]; expect: readonly string[] }[] = [
+const orders: readonly { name: string; asks: readonly PlacementRequest[]; expect: readonly string[] }[] = [
   {
     name: 'priority, then no spot to go to, then the guarantee, then targets, then the shortest, then the deadline, then the oldest',
     asks: [
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -2,7 +2,7 @@
 import { EPS, fitsIn, howMany, placeAllowed, type Demand, type JobSpec } from '../jobs/model.js';
 
 /** Where tasks go: pure functions over plain data. */
-export interface Room {
+export interface AvailableCapacity {
   readonly id: string;
   readonly type: string;
   readonly zone: string;
@@ -20,7 +20,7 @@
   readonly empty: boolean;
 }
 
-export interface Ask {
+export interface PlacementRequest {
   readonly job: string;
   readonly spec: JobSpec;
   /** Indexes of the tasks that wait (gangs: all of them). */
@@ -39,7 +39,7 @@
   readonly gathering: boolean;
 }
 
-export interface Use {
+export interface Usage {
   cpus: number;
   gpus: number;
 }
@@ -48,7 +48,7 @@
   readonly gpusMax: number;
 }
 
-export interface Put {
+export interface Assignment {
   readonly job: string;
   readonly index: number;
   readonly machine: string;
@@ -75,16 +75,16 @@
  */
 class Hopeless {
   private readonly failed = new Map<string, { need: Demand; tasks: number }[]>();
-  private key(ask: Ask): string {
+  private key(ask: PlacementRequest): string {
     return `${kindOf(ask.spec)}|${ask.spec.priority}|${ask.ordinary}|${ask.urgency.place}`;
   }
-  add(ask: Ask): void {
+  add(ask: PlacementRequest): void {
     const key = this.key(ask);
     const list = this.failed.get(key) ?? [];
     this.failed.set(key, list);
     list.push({ need: ask.spec, tasks: ask.spec.kind === 'gang' ? ask.spec.tasks : 1 });
   }
-  covers(ask: Ask): boolean {
+  covers(ask: PlacementRequest): boolean {
     const tasks = ask.spec.kind === 'gang' ? ask.spec.tasks : 1;
     return (this.failed.get(this.key(ask)) ?? []).some(
       (known) => tasks >= known.tasks && fitsIn(known.need, ask.spec),
@@ -99,7 +99,7 @@
 export const quotaRoom = (
   spec: Pick<JobSpec, 'cpus' | 'gpus'>,
   limit: Limit,
-  use: Use,
+  use: Usage,
   most: number,
 ): number => {
   let count = most;
@@ -110,14 +110,14 @@
   return Math.max(0, count);
 };
 
-const take = (room: Room, need: Demand, count: number): void => {
+const take = (room: AvailableCapacity, need: Demand, count: number): void => {
   room.free.cpus -= need.cpus * count;
   room.free.gpus -= need.gpus * count;
   room.free.memoryGb -= need.memoryGb * count;
 };
 
 /** MostAllocated: the mean share in use over CPUs, memory and GPUs (where there are any). */
-export const fullness = (rooms: readonly Room[]): number => {
+export const fullness = (rooms: readonly AvailableCapacity[]): number => {
   let sum = 0;
   let parts = 0;
   for (const field of ['cpus', 'memoryGb', 'gpus'] as const) {
@@ -138,7 +138,7 @@
 const byName = (a: { id: string }, b: { id: string }): number => (a.id < b.id ? -1 : a.id > b.id ? 1 : 0);
 
 /** Best machine first: not one kept for others, the cheaper kind, with the image, the fullest, by name. */
-const rank = (rooms: readonly Room[], spec: JobSpec): readonly Room[] =>
+const rank = (rooms: readonly AvailableCapacity[], spec: JobSpec): readonly AvailableCapacity[] =>
   rooms
     .map((room) => ({ room, full: fullness([room]) }))
     .sort(
@@ -151,7 +151,7 @@
     )
     .map((entry) => entry.room);
 
-const heldBack = (ask: Ask, room: Room): boolean => {
+const heldBack = (ask: PlacementRequest, room: AvailableCapacity): boolean => {
   if (!ask.ordinary) return true;
   switch (room.kept) {
     case 'no':
@@ -167,13 +167,13 @@
  * What is gathered for another job is left alone: machines that are empty by all, and those in use by work that has
  * spot machines to go to, or they would be filled again and again and never be empty.
  */
-const gathered = (ask: Ask, room: Room): boolean =>
+const gathered = (ask: PlacementRequest, room: AvailableCapacity): boolean =>
   room.held !== null &&
   room.held.job !== ask.job &&
   ask.spec.priority <= room.held.priority &&
   (room.empty || (ask.spec.spot && !room.spot));
 
-const usable = (ask: Ask, rooms: readonly Room[]): readonly Room[] =>
+const usable = (ask: PlacementRequest, rooms: readonly AvailableCapacity[]): readonly AvailableCapacity[] =>
   rooms.filter(
     (room) =>
       // Most rooms are full, so this comes first.
@@ -185,12 +185,12 @@
   );
 
 const fill = (
-  ask: Ask,
-  rooms: readonly Room[],
+  ask: PlacementRequest,
+  rooms: readonly AvailableCapacity[],
   count: number,
   zoneCap: number,
-): { room: Room; count: number }[] => {
-  const chosen: { room: Room; count: number }[] = [];
+): { room: AvailableCapacity; count: number }[] => {
+  const chosen: { room: AvailableCapacity; count: number }[] = [];
   const inZone = new Map(ask.inZones);
   let left = count;
   for (const room of rank(rooms, ask.spec)) {
@@ -206,8 +206,11 @@
 };
 
 /** The candidate zones of an ask: one entry for each set of machines that it may use together. */
-const zonesOf = (ask: Ask, rooms: readonly Room[]): Map<string, Room[]> => {
-  const zones = new Map<string, Room[]>();
+const zonesOf = (
+  ask: PlacementRequest,
+  rooms: readonly AvailableCapacity[],
+): Map<string, AvailableCapacity[]> => {
+  const zones = new Map<string, AvailableCapacity[]>();
   const occupied = [...ask.inZones].filter(([, count]) => count > 0).map(([zone]) => zone);
   for (const room of rooms) {
     const zone = ask.spec.oneZone ? room.zone : '';
@@ -220,14 +223,22 @@
   return zones;
 };
 
-export const packOne = (ask: Ask, rooms: readonly Room[], mostTasks: number): readonly Put[] => {
+export const packOne = (
+  ask: PlacementRequest,
+  rooms: readonly AvailableCapacity[],
+  mostTasks: number,
+): readonly Assignment[] => {
   const want = Math.min(ask.waiting.length, mostTasks);
   const gang = ask.spec.kind === 'gang';
   if (want <= 0 || (gang && want < ask.spec.tasks)) return [];
   const zoneCap = ask.spec.spread ? Math.ceil(ask.spec.tasks / 2) : Number.POSITIVE_INFINITY;
   const fits = usable(ask, rooms);
-  let best: { score: number; count: number; zone: string; chosen: { room: Room; count: number }[] } | null =
-    null;
+  let best: {
+    score: number;
+    count: number;
+    zone: string;
+    chosen: { room: AvailableCapacity; count: number }[];
+  } | null = null;
   for (const [zone, candidates] of [...zonesOf(ask, fits)].sort(([a], [b]) => (a < b ? -1 : 1))) {
     const chosen = fill(ask, candidates, want, zoneCap);
     const count = chosen.reduce((sum, entry) => sum + entry.count, 0);
@@ -238,7 +249,7 @@
     }
   }
   if (!best) return [];
-  const puts: Put[] = [];
+  const puts: Assignment[] = [];
   let next = 0;
   for (const { room, count } of best.chosen) {
     take(room, ask.spec, count);
@@ -252,16 +263,16 @@
 };
 
 export interface Packed {
-  readonly puts: readonly Put[];
+  readonly puts: readonly Assignment[];
   /** What found no room, with the number of tasks that the limit allows and that still wait. */
-  readonly left: readonly { readonly ask: Ask; readonly count: number }[];
+  readonly left: readonly { readonly ask: PlacementRequest; readonly count: number }[];
 }
 
-const dueAt = (ask: Ask): number =>
+const dueAt = (ask: PlacementRequest): number =>
   ask.spec.deadlineS === null ? Number.MAX_SAFE_INTEGER : ask.at + ask.spec.deadlineS * 1000;
 
 /** Most important first; then what machines are gathered for; then work that has no spot machines to go to; then work within its team's guarantee; then by targets; then the shortest; then by deadline; then the oldest. */
-export const order = (asks: readonly Ask[]): readonly Ask[] =>
+export const order = (asks: readonly PlacementRequest[]): readonly PlacementRequest[] =>
   [...asks].sort(
     (a, b) =>
       b.spec.priority - a.spec.priority ||
@@ -276,13 +287,13 @@
   );
 
 export const packAll = (
-  asks: readonly Ask[],
-  rooms: readonly Room[],
+  asks: readonly PlacementRequest[],
+  rooms: readonly AvailableCapacity[],
   limits: ReadonlyMap<string, Limit>,
-  uses: Map<string, Use>,
+  uses: Map<string, Usage>,
 ): Packed => {
-  const puts: Put[] = [];
-  const left: { ask: Ask; count: number }[] = [];
+  const puts: Assignment[] = [];
+  const left: { ask: PlacementRequest; count: number }[] = [];
   const hopeless = new Hopeless();
   /** What each team would use if all that waits had its room: a plan must not pass the limit either. */
   const planned = new Map([...uses].map(([team, use]) => [team, { ...use }]));
--- a/src/placement/asks.ts
+++ b/src/placement/placement-view.ts
@@ -1,36 +1,36 @@
 import {
-  ASK_TASKS,
+  REQUEST_TASKS_MAX,
   FETCH_GUESS_S,
   ORDINARY_AFTER_GUARANTEED_S,
   ORDINARY_AFTER_S,
   RESERVED_IDLE,
 } from '../constants.js';
 import { heldBy } from '../fleet/plan.js';
-import type { Hold } from '../fleet/records.js';
+import type { Reservation } from '../fleet/records.js';
 import { fitsIn, typeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
-import type { Book } from './book.js';
-import type { Custody } from './custody.js';
-import { order, type Ask, type Room, type Use } from './pack.js';
+import type { ShareState } from './share-state.js';
+import type { MachineLiveness } from './machine-liveness.js';
+import { order, type PlacementRequest, type AvailableCapacity, type Usage } from './pack.js';
 import { bindingKey, isFinished, type Free, type ShareJob, type ShareMachine } from './state.js';
 import { tier, urgency, type Objectives } from './urgency.js';
 
-/** What waits and where there is room, read from the book for one round. Changes nothing but the cached room. */
+/** What waits and where there is room, read from the shareState for one round. Changes nothing but the cached room. */
 export interface ViewInput {
-  readonly book: Book;
-  readonly custody: Custody;
+  readonly shareState: ShareState;
+  readonly liveness: MachineLiveness;
   readonly catalog: Catalog;
   readonly scarce: (type: string) => boolean;
-  readonly guarantees: ReadonlyMap<string, Use>;
+  readonly guarantees: ReadonlyMap<string, Usage>;
   readonly objectives: ReadonlyMap<string, Objectives>;
-  readonly holds: readonly Hold[];
+  readonly holds: readonly Reservation[];
   readonly now: number;
   readonly wall: number;
 }
 
 /** What each team has on machines: everything bound, which includes whatever is not proven gone. */
-export const usesOf = (book: Book): Map<string, Use> => {
-  const uses = new Map<string, Use>();
-  for (const job of book.jobs.values()) {
+export const teamUsage = (shareState: ShareState): Map<string, Usage> => {
+  const uses = new Map<string, Usage>();
+  for (const job of shareState.jobs.values()) {
     const tasks = job.bindings.size;
     if (tasks === 0) continue;
     const use = uses.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
@@ -41,10 +41,10 @@
   return uses;
 };
 
-const freeOf = (book: Book, machine: ShareMachine): Free => {
+const freeOf = (shareState: ShareState, machine: ShareMachine): Free => {
   let { cpus, gpus, memoryGb } = machine.total;
   const subtract = (jobId: string): boolean => {
-    const spec = book.jobs.get(jobId)?.spec;
+    const spec = shareState.jobs.get(jobId)?.spec;
     if (!spec) return false;
     cpus -= spec.cpus;
     gpus -= spec.gpus;
@@ -66,19 +66,19 @@
  * Ordinary machines that some job can't do without are held back from work that can use spot: where that
  * work has other types to go to, always; where it has none, as long as it would take one of the last idle.
  */
-const keptForOthers = (machine: ShareMachine, idle: number, input: ViewInput): Room['kept'] => {
+const keptForOthers = (machine: ShareMachine, idle: number, input: ViewInput): AvailableCapacity['kept'] => {
   if (machine.spot || !input.scarce(machine.type)) return 'no';
   if (input.catalog.size > 1) return 'always';
   return machine.bound.size === 0 && idle <= RESERVED_IDLE ? 'reserve' : 'no';
 };
 
-export const roomsOf = (input: ViewInput): Room[] => {
-  const { book, custody } = input;
-  const rooms: Room[] = [];
+export const availableCapacity = (input: ViewInput): AvailableCapacity[] => {
+  const { shareState, liveness } = input;
+  const rooms: AvailableCapacity[] = [];
   let idle = 0;
-  for (const machine of book.machines.values())
-    if (!machine.spot && !machine.releasing && custody.idle(machine)) idle += 1;
-  for (const machine of book.machines.values()) {
+  for (const machine of shareState.machines.values())
+    if (!machine.spot && !machine.releasing && liveness.idle(machine)) idle += 1;
+  for (const machine of shareState.machines.values()) {
     if (
       machine.releasing ||
       machine.cordoned ||
@@ -87,9 +87,9 @@
       machine.raiseToken
     )
       continue;
-    const live = custody.live(machine, input.now);
-    if (!live && !custody.expected(machine, input.now, input.wall)) continue;
-    machine.free ??= freeOf(book, machine);
+    const live = liveness.live(machine, input.now);
+    if (!live && !liveness.expected(machine, input.now, input.wall)) continue;
+    machine.free ??= freeOf(shareState, machine);
     const { free } = machine;
     if (free._tag === 'unclear') continue;
     const held = heldBy(input.holds, machine);
@@ -123,28 +123,28 @@
   const waiting: number[] = [];
   // Enough for any limit; a job of 100,000 tasks need not be walked whole each round.
   while (job.done.has(job.firstOpen)) job.firstOpen += 1;
-  for (let index = job.firstOpen; index < job.spec.tasks && waiting.length < ASK_TASKS; index += 1) {
+  for (let index = job.firstOpen; index < job.spec.tasks && waiting.length < REQUEST_TASKS_MAX; index += 1) {
     if (!job.done.has(index) && !job.bindings.has(index)) waiting.push(index);
   }
   return waiting;
 };
 
-const inZones = (job: ShareJob, book: Book): ReadonlyMap<string, number> => {
+const inZones = (job: ShareJob, shareState: ShareState): ReadonlyMap<string, number> => {
   const zones = new Map<string, number>();
   // Only these two look at where the other tasks are.
   if (!job.spec.oneZone && !job.spec.spread) return zones;
   for (const binding of job.bindings.values()) {
-    const zone = book.machines.get(binding.machine)?.zone;
+    const zone = shareState.machines.get(binding.machine)?.zone;
     if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1);
   }
   return zones;
 };
 
-export const asksOf = (input: ViewInput): readonly Ask[] => {
-  const { book, now, wall } = input;
-  const asks: Ask[] = [];
-  const ahead = new Map<string, Use>();
-  for (const job of [...book.jobs.values()].sort((a, b) => a.at - b.at)) {
+export const placementRequests = (input: ViewInput): readonly PlacementRequest[] => {
+  const { shareState, now, wall } = input;
+  const asks: PlacementRequest[] = [];
+  const ahead = new Map<string, Usage>();
+  for (const job of [...shareState.jobs.values()].sort((a, b) => a.at - b.at)) {
     const { spec } = job;
     // What waits for others holds no part of its team's limit or guarantee.
     if (job.readiness._tag !== 'ready') continue;
@@ -170,7 +170,7 @@
       job: spec.id,
       spec,
       waiting,
-      inZones: inZones(job, book),
+      inZones: inZones(job, shareState),
       failedOn: job.failedOn,
       at: job.at,
       tier: tier(objectives, waitedS),
--- a/src/placement/evict.test.ts
+++ b/src/placement/preemption.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../jobs/model.js';
-import { chooseVictims, type Group, type Occupied } from './evict.js';
+import { chooseVictims, type Group, type OccupiedMachine } from './preemption.js';
 
 const spec = (over: Partial<JobSpec>): JobSpec => ({
   id: 'job-9',
@@ -33,7 +33,7 @@
   tasks: gpus,
   demand: { cpus: gpus, gpus, memoryGb: gpus },
 });
-const machine = (id: string, zone: string, groups: readonly Group[], spot = false): Occupied => {
+const machine = (id: string, zone: string, groups: readonly Group[], spot = false): OccupiedMachine => {
   const used = groups.reduce((sum, entry) => sum + entry.demand.gpus, 0);
   return { id, type: 'g', zone, spot, free: { cpus: 64, gpus: 8 - used, memoryGb: 64 }, groups };
 };
@@ -41,7 +41,7 @@
 const rows: readonly {
   name: string;
   spec: JobSpec;
-  machines: readonly Occupied[];
+  machines: readonly OccupiedMachine[];
   expect: readonly string[];
 }[] = [
   {
--- a/src/placement/evict.ts
+++ b/src/placement/preemption.ts
@@ -12,7 +12,7 @@
   readonly tasks: number;
   readonly demand: Demand;
 }
-export interface Occupied {
+export interface OccupiedMachine {
   readonly id: string;
   readonly type: string;
   readonly zone: string;
@@ -29,13 +29,13 @@
 const keyOf = (machine: string, group: Group): string => (group.gang ? group.job : `${group.job}@${machine}`);
 
 interface Plan {
-  readonly machine: Occupied;
+  readonly machine: OccupiedMachine;
   readonly victims: readonly Group[];
   readonly fits: number;
 }
 
 /** Fewest and smallest groups of the lowest priority whose end lets at least one more task in. */
-const clear = (spec: JobSpec, machine: Occupied, gone: ReadonlySet<string>): Plan | null => {
+const clear = (spec: JobSpec, machine: OccupiedMachine, gone: ReadonlySet<string>): Plan | null => {
   const free = { cpus: machine.free.cpus, gpus: machine.free.gpus, memoryGb: machine.free.memoryGb };
   const add = (group: Group): void => {
     free.cpus += group.demand.cpus;
@@ -69,11 +69,11 @@
   return { machine, victims, fits: howMany(spec, free, spec.tasks) };
 };
 
-/** Which groups to evict so that `count` tasks can start; none if no eviction would lead to a start. */
+/** Which groups to preempt so that `count` tasks can start; none if no eviction would lead to a start. */
 export const chooseVictims = (
   spec: JobSpec,
   count: number,
-  machines: readonly Occupied[],
+  machines: readonly OccupiedMachine[],
 ): readonly Eviction[] => {
   const usable = machines.filter((machine) => placeAllowed(spec, machine));
   const zones = spec.oneZone ? [...new Set(usable.map((machine) => machine.zone))].sort() : [null];
@@ -87,7 +87,7 @@
     let worst = 0;
     const left = usable.filter((machine) => zone === null || machine.zone === zone);
     /** Plans stay as they are until a group with tasks on their machine goes for another's sake. */
-    const plans = new Map<Occupied, Plan | null>();
+    const plans = new Map<OccupiedMachine, Plan | null>();
     while (missing > 0) {
       let pick: Plan | null = null;
       for (const machine of left) {
--- a/src/placement/book.ts
+++ b/src/placement/share-state.ts
@@ -1,4 +1,10 @@
-import { JOB_BACKOFF_MAX_MS, JOB_BACKOFF_MS, JOB_ERRORS, SETTLE_EXTRA_S, SUSPECT_MS } from '../constants.js';
+import {
+  JOB_BACKOFF_MAX_MS,
+  JOB_BACKOFF_MS,
+  JOB_ERRORS,
+  STOP_GRACE_EXTRA_S,
+  SUSPECT_MS,
+} from '../constants.js';
 import type { MachineRecord } from '../fleet/records.js';
 import type { Demand, JobRecord } from '../jobs/model.js';
 import { log } from '../log.js';
@@ -14,7 +20,7 @@
 } from './state.js';
 import { nextPhase, onMachine, type Gone, type Phase, type PhaseEvent } from './task.js';
 
-export interface BookInput {
+export interface ShareStateInput {
   readonly now: () => number;
   /** ms since the epoch. */
   readonly wall: () => number;
@@ -23,15 +29,15 @@
 }
 
 /** Jobs, machines and bindings of one share, and the one place where a binding changes its state. */
-export class Book {
+export class ShareState {
   readonly jobs = new Map<string, ShareJob>();
   readonly machines = new Map<string, ShareMachine>();
   /** Bindings whose stop is to go out directly. */
   readonly stops = new Set<Binding>();
   /** Cancellations heard of before their jobs, by the revision at which they became durable. */
-  readonly heeded = new Map<string, number>();
+  readonly acknowledged = new Map<string, number>();
 
-  constructor(private readonly input: BookInput) {}
+  constructor(private readonly input: ShareStateInput) {}
 
   addMachine(id: string, record: MachineRecord, version: number, total: Demand): ShareMachine {
     const machine: ShareMachine = {
@@ -110,10 +116,10 @@
     // The news of a change may come after a message about a later one.
     if (version < job.version) return job;
     job.version = version;
-    const heeded = this.heeded.get(job.spec.id);
-    if (record.cancelled || heeded !== undefined) {
-      job.version = Math.max(version, heeded ?? 0);
-      this.heeded.delete(job.spec.id);
+    const acknowledged = this.acknowledged.get(job.spec.id);
+    if (record.cancelled || acknowledged !== undefined) {
+      job.version = Math.max(version, acknowledged ?? 0);
+      this.acknowledged.delete(job.spec.id);
       this.cancel(job, record.cancelledAt);
     }
     return job;
@@ -143,10 +149,10 @@
   }
 
   /** A cancellation that is durable at this revision, told by another node: the shared keys may show it much later. */
-  heed(id: string, version: number): void {
+  acknowledge(id: string, version: number): void {
     const job = this.jobs.get(id);
     if (!job) {
-      this.heeded.set(id, version);
+      this.acknowledged.set(id, version);
       return;
     }
     job.version = Math.max(job.version, version);
@@ -192,7 +198,7 @@
   }
 
   graceOf(job: ShareJob): number {
-    return job.spec.checkpointS > 0 ? job.spec.saveS + SETTLE_EXTRA_S : 0;
+    return job.spec.checkpointS > 0 ? job.spec.saveS + STOP_GRACE_EXTRA_S : 0;
   }
 
   /** A gang that lost a member is stopped whole and waits again, free to go anywhere. */
--- a/src/placement/share.test.ts
+++ b/src/placement/share.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ROUND_GAP_MS, ROUND_SHARE } from '../constants.js';
-import { Book } from './book.js';
+import { ShareState } from './share-state.js';
 import { restMs } from './share.js';
 
 /** What rounds may cost, and what is not sent twice. */
@@ -28,9 +28,9 @@
   });
 }
 
-test('book: tasks of a gang that is done are not told to stop one by one', () => {
+test('share state: tasks of a gang that is done are not told to stop one by one', () => {
   // They end together and each worker reports so itself: of a gang of 16, 15 commands were sent for nothing.
-  const book = new Book({ now: () => 0, wall: () => 0, poke: () => undefined });
+  const shareState = new ShareState({ now: () => 0, wall: () => 0, poke: () => undefined });
   const tasks = 3;
   const spec = {
     id: 'job-1',
@@ -54,7 +54,10 @@
     saveS: 0,
     deadlineS: null,
   };
-  const job = book.adoptJob({ spec, at: 0, cancelled: false, cancelledAt: null, follows: [], parts: 0 }, 1);
+  const job = shareState.adoptJob(
+    { spec, at: 0, cancelled: false, cancelledAt: null, follows: [], parts: 0 },
+    1,
+  );
   const record = {
     share: 0,
     type: 'g',
@@ -67,25 +70,27 @@
   };
   const total = { cpus: 8, gpus: 8, memoryGb: 8 };
   const bindings = Array.from({ length: tasks }, (_, index) =>
-    book.bind(job, index, 1, book.addMachine(`i-${index}`, record, 1, total), { _tag: 'running' }),
+    shareState.bind(job, index, 1, shareState.addMachine(`i-${index}`, record, 1, total), {
+      _tag: 'running',
+    }),
   );
   const [first, ...others] = bindings;
   assert.ok(first);
-  book.apply(first, { _tag: 'reported', state: { _tag: 'exited', cause: 'done', saved: false } });
+  shareState.apply(first, { _tag: 'reported', state: { _tag: 'exited', cause: 'done', saved: false } });
   assert.equal(job.done.size, tasks);
-  assert.equal(book.stops.size, 0, 'nothing goes out directly');
+  assert.equal(shareState.stops.size, 0, 'nothing goes out directly');
   for (const other of others)
     assert.equal(other.stop?.reason, 'finished', 'a worker that missed it hears of it');
   // A gang that broke is still told at once, all of it.
-  const broken = book.adoptJob(
+  const broken = shareState.adoptJob(
     { spec: { ...spec, id: 'job-2' }, at: 0, cancelled: false, cancelledAt: null, follows: [], parts: 0 },
     2,
   );
   for (let index = 0; index < tasks; index += 1) {
-    const machine = book.machines.get(`i-${index}`);
+    const machine = shareState.machines.get(`i-${index}`);
     assert.ok(machine);
-    book.bind(broken, index, 1, machine, { _tag: 'running' });
+    shareState.bind(broken, index, 1, machine, { _tag: 'running' });
   }
-  book.breakGang(broken);
-  assert.equal(book.stops.size, tasks);
+  shareState.breakGang(broken);
+  assert.equal(shareState.stops.size, tasks);
 });
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -1,9 +1,9 @@
 import * as Effect from 'effect/Effect';
 import {
-  COUNTS_TOLD,
-  EVICT_AFTER_MS,
-  EVICT_ASKS,
-  EVICT_EVERY_MS,
+  TASK_COUNTS_MAX,
+  PREEMPT_AFTER_MS,
+  PREEMPT_REQUESTS_MAX,
+  PREEMPT_INTERVAL_MS,
   FLUSH_AGE_MS,
   FLUSH_AT_ONCE,
   FLUSH_MS,
@@ -15,23 +15,23 @@
   STORE_RETRY_MS,
   WATCH_MACHINES_MS,
 } from '../constants.js';
-import { readMachineRecord, type Hold, type Move, type Summary } from '../fleet/records.js';
+import { readMachineRecord, type Reservation, type Move, type Summary } from '../fleet/records.js';
 import { readJobRecord } from '../jobs/codec.js';
 import type { Catalog, FinalRecord, FinalState, JobSpec } from '../jobs/model.js';
 import { log } from '../log.js';
 import type { Item, Store } from '../store/client.js';
 import { jobKey, parseRunKey, runKey, runPartKey, runsPrefix } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
-import type { DirectResult } from '../workers/line.js';
+import type { WatchCache } from '../store/watch-cache.js';
+import type { DirectResult } from '../workers/worker-client.js';
 import type { Command, Report } from '../workers/model.js';
 import type { Readiness, Standing } from '../pipelines/graph.js';
-import { asksOf, roomsOf, usesOf, type ViewInput } from './asks.js';
-import { Book } from './book.js';
-import { Custody } from './custody.js';
-import { Dialogue } from './dialogue.js';
-import { chooseVictims, type Occupied } from './evict.js';
-import { needsOf, sparesOf, type Waiting } from './needs.js';
-import { packAll, type Limit, type Put, type Room, type Use } from './pack.js';
+import { placementRequests, availableCapacity, teamUsage, type ViewInput } from './placement-view.js';
+import { ShareState } from './share-state.js';
+import { MachineLiveness } from './machine-liveness.js';
+import { WorkerSessions } from './worker-sessions.js';
+import { chooseVictims, type OccupiedMachine } from './preemption.js';
+import { unmetDemand, spareMachines, type UnplacedRequest } from './unmet-demand.js';
+import { packAll, type Limit, type Assignment, type AvailableCapacity, type Usage } from './pack.js';
 import { chunkOf, counts, durableKeys, partsOf, readRunRecord, validAttempt } from './records.js';
 import { bindingKey, isFinished, type Binding, type ShareJob, type ShareMachine } from './state.js';
 import { onMachine } from './task.js';
@@ -40,13 +40,13 @@
 
 export interface ShareInput {
   readonly store: Store;
-  readonly mirror: Mirror;
+  readonly cache: WatchCache;
   readonly catalog: () => Catalog | null;
   /** Some job of any share that may not use spot machines fits no other type. */
   readonly scarce: (type: string) => boolean;
   readonly shareOfTeam: ReadonlyMap<string, number>;
   readonly limits: ReadonlyMap<string, Limit>;
-  readonly guarantees: ReadonlyMap<string, Use>;
+  readonly guarantees: ReadonlyMap<string, Usage>;
   readonly objectives: ReadonlyMap<string, Objectives>;
   readonly workers: { readonly lease_s: number; readonly report_s: number; readonly cancel_s: number };
   /** bytes: the largest value that the state service takes, now and later. */
@@ -60,7 +60,7 @@
   /** Has another share a free machine that would do for this job? */
   readonly spareElsewhere: (slot: number, spec: JobSpec) => boolean;
   /** What the leader gathers machines for. */
-  readonly holds: () => readonly Hold[];
+  readonly holds: () => readonly Reservation[];
   readonly now: () => number;
   /** ms since the epoch; only for ages of jobs and machines, never for leases. */
   readonly wall: () => number;
@@ -91,9 +91,9 @@
 export class Share {
   stage: Stage = 'loading';
   summary: Summary | null = null;
-  private readonly book: Book;
-  private readonly custody: Custody;
-  private readonly dialogue: Dialogue;
+  private readonly shareState: ShareState;
+  private readonly liveness: MachineLiveness;
+  private readonly sessions: WorkerSessions;
   private readonly writer: Writer;
   private readonly orphans: string[] = [];
   private flushing = false;
@@ -113,19 +113,19 @@
     private readonly input: ShareInput,
   ) {
     const poke = (): void => this.poke();
-    this.book = new Book({ now: input.now, wall: input.wall, poke });
-    this.custody = new Custody({
-      machines: this.book.machines,
+    this.shareState = new ShareState({ now: input.now, wall: input.wall, poke });
+    this.liveness = new MachineLiveness({
+      machines: this.shareState.machines,
       catalog: input.catalog,
       workers: input.workers,
       now: input.now,
       wall: input.wall,
     });
-    this.dialogue = new Dialogue({
-      book: this.book,
+    this.sessions = new WorkerSessions({
+      shareState: this.shareState,
       claim,
       now: input.now,
-      leaseMs: this.custody.leaseMs,
+      leaseMs: this.liveness.leaseMs,
       loaded: () => this.stage !== 'loading',
       isCancelled: (id) => this.isCancelled(id),
       placing: () => this.stage === 'placing',
@@ -143,7 +143,7 @@
       lost: () => this.lose(),
       isLost: () => this.stage === 'lost',
     });
-    for (const item of input.mirror.under('w/m/')) this.onMachineRecord(item);
+    for (const item of input.cache.under('w/m/')) this.onMachineRecord(item);
   }
 
   // ---- what the shared keys say -------------------------------------------------------------------------
@@ -151,10 +151,10 @@
   onMachineRecord(item: Item): void {
     const id = item.key.slice('w/m/'.length);
     const record = readMachineRecord(item.value);
-    const known = this.book.machines.get(id);
+    const known = this.shareState.machines.get(id);
     if (record.share !== this.slot) {
       // Its former holder moves only free ones, so nothing of ours is on it.
-      if (known) this.book.dropMachine(known, { _tag: 'released' });
+      if (known) this.shareState.dropMachine(known, { _tag: 'released' });
       return;
     }
     if (known) {
@@ -166,55 +166,57 @@
       return;
     }
     const total = this.input.catalog()?.get(record.type) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
-    const machine = this.book.addMachine(id, record, item.version, total);
-    if (record.addr !== '' && this.input.entitled()) this.dialogue.greet(machine, record.session);
+    const machine = this.shareState.addMachine(id, record, item.version, total);
+    if (record.addr !== '' && this.input.entitled()) this.sessions.greet(machine, record.session);
     this.poke();
   }
 
   onMachineGone(id: string): void {
-    const machine = this.book.machines.get(id);
+    const machine = this.shareState.machines.get(id);
     // The record goes only after the cloud answered 200 to the machine's release.
-    if (machine) this.book.dropMachine(machine, { _tag: 'released' });
+    if (machine) this.shareState.dropMachine(machine, { _tag: 'released' });
   }
 
   onJobRecord(item: Item): void {
     const record = readJobRecord(item.value);
     if (this.input.shareOfTeam.get(record.spec.team) !== this.slot || this.stage === 'loading') return;
-    this.book.adoptJob(record, item.version);
+    this.shareState.adoptJob(record, item.version);
     this.onStanding(record.spec.id);
     this.poke();
   }
 
   /** The readiness or standing of a job may have changed. */
   onStanding(id: string): void {
-    const job = this.book.jobs.get(id);
+    const job = this.shareState.jobs.get(id);
     const standing = this.input.standing(id);
-    if (job && standing) this.book.stand(id, this.input.readiness(id), standing);
+    if (job && standing) this.shareState.stand(id, this.input.readiness(id), standing);
   }
 
   /** Another node is about to tell a user of this cancellation. True: from now on every answer to a worker says so. */
-  heed(id: string, version: number): boolean {
+  acknowledge(id: string, version: number): boolean {
     if (this.stage === 'lost') return false;
-    this.book.heed(id, version);
+    this.shareState.acknowledge(id, version);
     this.poke();
     return true;
   }
 
   /** Is the job cancelled, as far as the shared keys and what other nodes said go? */
   private isCancelled(id: string): boolean {
-    const item = this.input.mirror.get(jobKey(id));
-    return this.book.heeded.has(id) || (item !== undefined && readJobRecord(item.value).cancelled);
+    const item = this.input.cache.get(jobKey(id));
+    return (
+      this.shareState.acknowledged.has(id) || (item !== undefined && readJobRecord(item.value).cancelled)
+    );
   }
 
   onJobGone(id: string): void {
-    this.book.heeded.delete(id);
-    const job = this.book.jobs.get(id);
+    this.shareState.acknowledged.delete(id);
+    const job = this.shareState.jobs.get(id);
     if (job && !job.finishing) log.error({ event: 'job.record_vanished', job: id });
   }
 
   // ---- takeover ------------------------------------------------------------------------------------------
 
-  /** Reads the share's runs. The mirror already shows every change before the claim's own revision. */
+  /** Reads the share's runs. The cache already shows every change before the claim's own revision. */
   private readonly load: Effect.Effect<void> = Effect.gen({ self: this }, function* () {
     for (;;) {
       const all = yield* this.input.store.list(runsPrefix(this.slot), 'user');
@@ -223,28 +225,28 @@
         continue;
       }
       this.stage = 'rebuilding';
-      this.custody.loadedAt = this.input.now();
-      for (const item of this.input.mirror.under('w/j/')) {
+      this.liveness.loadedAt = this.input.now();
+      for (const item of this.input.cache.under('w/j/')) {
         const record = readJobRecord(item.value);
         if (this.input.shareOfTeam.get(record.spec.team) === this.slot)
-          this.book.adoptJob(record, item.version);
+          this.shareState.adoptJob(record, item.version);
         this.onStanding(record.spec.id);
       }
       const parts = new Map(all.items.map((item) => [item.key, item]));
       for (const item of all.items) this.loadRun(item, parts);
-      for (const machine of this.book.machines.values()) {
+      for (const machine of this.shareState.machines.values()) {
         machine.free = null;
         for (const task of machine.reported) {
           const binding = machine.bound.get(bindingKey(task.job, task.index, task.attempt));
-          if (binding) this.book.apply(binding, { _tag: 'reported', state: task.state });
+          if (binding) this.shareState.apply(binding, { _tag: 'reported', state: task.state });
         }
       }
       log.info({
         event: 'share.loaded',
         share: this.slot,
         claim: this.claim,
-        jobs: this.book.jobs.size,
-        machines: this.book.machines.size,
+        jobs: this.shareState.jobs.size,
+        machines: this.shareState.machines.size,
       });
       return;
     }
@@ -252,7 +254,7 @@
 
   private loadRun(item: Item, items: ReadonlyMap<string, Item>): void {
     const name = parseRunKey(item.key);
-    const job = name ? this.book.jobs.get(name.job) : undefined;
+    const job = name ? this.shareState.jobs.get(name.job) : undefined;
     if (!name || !job) {
       this.orphans.push(item.key);
       return;
@@ -284,30 +286,30 @@
     job.chunks.set(name.chunk, chunk);
     if (!valid) chunk.dirtyFrom = 0;
     for (const bound of valid ? record.bindings : []) {
-      const machine = this.book.machines.get(bound.machine);
+      const machine = this.shareState.machines.get(bound.machine);
       // No record of the machine: it was released, and that was answered 200.
       if (!machine) {
         chunk.dirtyFrom = 0;
         continue;
       }
-      const binding = this.book.bind(job, bound.index, bound.attempt, machine, { _tag: 'bound' });
-      if (job.cancelled) this.book.stop(binding, 'cancelled', 0);
+      const binding = this.shareState.bind(job, bound.index, bound.attempt, machine, { _tag: 'bound' });
+      if (job.cancelled) this.shareState.stop(binding, 'cancelled', 0);
     }
     if (job.spec.kind === 'gang' && job.bindings.size > 0 && job.bindings.size < job.spec.tasks)
-      this.book.breakGang(job);
+      this.shareState.breakGang(job);
   }
 
   // ---- workers ---------------------------------------------------------------------------------------------
 
   onReport(report: Report): { readonly hurry: boolean } | null {
-    return this.dialogue.onReport(report);
+    return this.sessions.onReport(report);
   }
   orders(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null {
-    return this.dialogue.orders(report);
+    return this.sessions.orders(report);
   }
   /** Machines that should report, and those heard lately: all of none means that nobody reaches this node. */
   hearing(): { readonly machines: number; readonly heard: number } {
-    return this.custody.hearing(this.custody.deafMs);
+    return this.liveness.hearing(this.liveness.deafMs);
   }
 
   // ---- rounds ----------------------------------------------------------------------------------------------
@@ -341,7 +343,7 @@
   /** Resolves when the binds of a whole round that begins after now are durable, or after `ms`. */
   nextRound(id: string, ms: number): Promise<void> {
     this.poke();
-    const machine = this.book.machines.get(id);
+    const machine = this.shareState.machines.get(id);
     if (machine) machine.answering += 1;
     return new Promise<void>((resolve) => {
       const end = (): void => {
@@ -373,10 +375,10 @@
   /** One round: decisions only. What they write goes out beside the rounds, in transactions of its own. */
   private round(): void {
     const waiting = [...this.waiters];
-    this.dialogue.sendStops();
+    this.sessions.sendStops();
     this.watchMachines();
     this.finishJobs();
-    if (this.stage === 'rebuilding' && this.custody.rebuilt()) {
+    if (this.stage === 'rebuilding' && this.liveness.rebuilt()) {
       this.stage = 'placing';
       log.info({ event: 'share.placing', share: this.slot });
     }
@@ -394,20 +396,22 @@
     const now = this.input.now();
     if (now - this.watchedAt < WATCH_MACHINES_MS) return;
     this.watchedAt = now;
-    for (const machine of this.custody.watch()) {
+    for (const machine of this.liveness.watch()) {
       log.info({ event: 'machine.lease_over', machine: machine.id, tasks: machine.bound.size });
       for (const binding of [...machine.bound.values()])
-        this.book.apply(binding, { _tag: 'lost', how: { _tag: 'leaseOver' } });
+        this.shareState.apply(binding, { _tag: 'lost', how: { _tag: 'leaseOver' } });
     }
-    const overdue = this.custody.overdue(this.book.jobs.values());
+    const overdue = this.liveness.overdue(this.shareState.jobs.values());
     this.returnNow(overdue.map((machine) => machine.id));
     const release = [
       ...overdue
         .filter((machine) => !machine.releasing)
         .map((machine) => ({ machine, why: 'cancelled and not gone' })),
-      ...this.custody.toRelease(this.stage === 'placing').filter(({ machine }) => !overdue.includes(machine)),
+      ...this.liveness
+        .toRelease(this.stage === 'placing')
+        .filter(({ machine }) => !overdue.includes(machine)),
     ];
-    const raise = [...this.book.machines.values()].filter(
+    const raise = [...this.shareState.machines.values()].filter(
       (machine) => machine.raiseToken && !machine.releasing,
     );
     for (const machine of raise) machine.raiseToken = false;
@@ -435,10 +439,10 @@
     void this.input.returnNow(machines).then((returned) => {
       if (this.stage === 'lost' || !returned) return;
       for (const id of machines) {
-        const machine = this.book.machines.get(id);
+        const machine = this.shareState.machines.get(id);
         if (machine) machine.cordoned = true;
         for (const binding of [...(machine?.bound.values() ?? [])])
-          this.book.apply(binding, { _tag: 'lost', how: { _tag: 'released' } });
+          this.shareState.apply(binding, { _tag: 'lost', how: { _tag: 'released' } });
       }
     });
   }
@@ -448,12 +452,12 @@
     return (
       !machine.releasing &&
       !machine.raiseToken &&
-      this.custody.idle(machine) &&
+      this.liveness.idle(machine) &&
       machine.unsureRuns.size === 0 &&
       machine.noticeAt === null &&
       machine.health._tag === 'fine' &&
       machine.reported.every((task) =>
-        this.dialogue.settled(bindingKey(task.job, task.index, task.attempt), task.job, task.index),
+        this.sessions.settled(bindingKey(task.job, task.index, task.attempt), task.job, task.index),
       )
     );
   }
@@ -462,7 +466,7 @@
   async give(moves: readonly Move[]): Promise<boolean> {
     if (this.stage !== 'placing') return false;
     const records = moves.flatMap(({ machine: id, to }) => {
-      const machine = this.book.machines.get(id);
+      const machine = this.shareState.machines.get(id);
       return machine && this.movable(machine) ? [{ machine, share: to, releasing: false }] : [];
     });
     if (records.length === 0) return false;
@@ -493,7 +497,7 @@
     const { changes } = this.input.store;
     const ageMs = changes.demand() < changes.perSecond * FLUSH_AT_ONCE ? 0 : FLUSH_AGE_MS;
     const entries: { write: RunWrite }[] = [];
-    for (const job of this.book.jobs.values()) {
+    for (const job of this.shareState.jobs.values()) {
       if (job.finishing || job.writing > 0) continue;
       if (job.bindings.size === 0 && (job.cancelled || isFinished(job))) continue;
       for (const [number, chunk] of job.chunks) {
@@ -532,14 +536,14 @@
       if (sent.length === 0) return;
       void this.writer.finish(sent).then(({ done, orphans }) => {
         for (const { job, final } of done) {
-          this.book.jobs.delete(job.spec.id);
+          this.shareState.jobs.delete(job.spec.id);
           this.input.settled(job.spec.id, final);
         }
         this.orphans.push(...orphans);
         this.poke();
       });
     };
-    for (const job of this.book.jobs.values()) {
+    for (const job of this.shareState.jobs.values()) {
       if (job.finishing || job.writing > 0 || job.bindings.size > 0) continue;
       if (!job.cancelled && !isFinished(job)) continue;
       const more = this.writer.finalSize(job);
@@ -555,8 +559,8 @@
 
   private view(catalog: Catalog): ViewInput {
     return {
-      book: this.book,
-      custody: this.custody,
+      shareState: this.shareState,
+      liveness: this.liveness,
       catalog,
       scarce: this.input.scarce,
       guarantees: this.input.guarantees,
@@ -570,9 +574,9 @@
   /** Ends when what was bound is durable, or surely is not. */
   private place(catalog: Catalog): Promise<unknown> {
     const view = this.view(catalog);
-    const asks = asksOf(view);
-    const rooms = roomsOf(view);
-    const uses = usesOf(this.book);
+    const asks = placementRequests(view);
+    const rooms = availableCapacity(view);
+    const uses = teamUsage(this.shareState);
     const packed = packAll(
       asks,
       rooms.filter((room) => room.live),
@@ -585,18 +589,18 @@
     return bound;
   }
 
-  private bindAll(puts: readonly Put[]): Promise<unknown> {
+  private bindAll(puts: readonly Assignment[]): Promise<unknown> {
     const byJob = new Map<ShareJob, Binding[]>();
     for (const put of puts) {
-      const job = this.book.jobs.get(put.job);
-      const machine = this.book.machines.get(put.machine);
+      const job = this.shareState.jobs.get(put.job);
+      const machine = this.shareState.machines.get(put.machine);
       if (!job || !machine) continue;
       let list = byJob.get(job);
       if (!list) {
         job.attempt += 1;
         byJob.set(job, (list = []));
       }
-      list.push(this.book.bind(job, put.index, job.attempt, machine, { _tag: 'binding' }));
+      list.push(this.shareState.bind(job, put.index, job.attempt, machine, { _tag: 'binding' }));
     }
     const commits: Promise<void>[] = [];
     const arrays: { write: RunWrite; bindings: readonly Binding[] }[] = [];
@@ -624,10 +628,10 @@
       : await this.writer.commitRuns(writes, 'bind');
     const bindings = entries.flatMap((entry) => entry.bindings);
     for (const binding of bindings) {
-      if (committed) this.book.apply(binding, { _tag: 'durable' });
-      else this.book.unbind(binding);
+      if (committed) this.shareState.apply(binding, { _tag: 'durable' });
+      else this.shareState.unbind(binding);
     }
-    if (committed && this.stage !== 'lost') this.dialogue.sendRuns(bindings);
+    if (committed && this.stage !== 'lost') this.sessions.sendRuns(bindings);
     this.poke();
   }
 
@@ -635,14 +639,14 @@
    * Whole groups of lower priority go when nothing else helps: no room here, no free machine in another share
    * that would do, and nothing already on its way out. One job a round, and only if it can start for it.
    */
-  private evict(left: readonly Waiting[], rooms: readonly Room[]): void {
+  private evict(left: readonly UnplacedRequest[], rooms: readonly AvailableCapacity[]): void {
     const now = this.input.now();
-    if (now - this.evictedAt < EVICT_EVERY_MS) return;
+    if (now - this.evictedAt < PREEMPT_INTERVAL_MS) return;
     const candidates = left
-      .filter(({ ask }) => ask.spec.priority > 0 && this.input.wall() - ask.at >= EVICT_AFTER_MS)
-      .slice(0, EVICT_ASKS);
+      .filter(({ ask }) => ask.spec.priority > 0 && this.input.wall() - ask.at >= PREEMPT_AFTER_MS)
+      .slice(0, PREEMPT_REQUESTS_MAX);
     if (candidates.length === 0) return;
-    for (const machine of this.book.machines.values()) {
+    for (const machine of this.shareState.machines.values()) {
       for (const binding of machine.bound.values()) if (binding.stop?.reason === 'evicted') return;
     }
     this.evictedAt = now;
@@ -656,27 +660,27 @@
       );
       if (victims.length === 0) continue;
       for (const victim of victims) {
-        const job = this.book.jobs.get(victim.job);
+        const job = this.shareState.jobs.get(victim.job);
         if (!job) continue;
         log.info({ event: 'group.evicted', job: victim.job, machine: victim.machine, for: ask.job });
         for (const binding of job.bindings.values()) {
           if (job.spec.kind === 'gang' || binding.machine === victim.machine)
-            this.book.stop(binding, 'evicted', this.book.graceOf(job));
+            this.shareState.stop(binding, 'evicted', this.shareState.graceOf(job));
         }
       }
       return;
     }
   }
 
-  private occupied(rooms: readonly Room[]): readonly Occupied[] {
+  private occupied(rooms: readonly AvailableCapacity[]): readonly OccupiedMachine[] {
     const now = this.input.now();
-    const occupied: Occupied[] = [];
+    const occupied: OccupiedMachine[] = [];
     for (const room of rooms) {
-      const machine = this.book.machines.get(room.id);
+      const machine = this.shareState.machines.get(room.id);
       if (!machine || !room.live) continue;
       const groups = new Map<string, { binding: Binding; job: ShareJob; tasks: number }>();
       for (const binding of machine.bound.values()) {
-        const job = this.book.jobs.get(binding.job);
+        const job = this.shareState.jobs.get(binding.job);
         if (!job || binding.stop) continue;
         const known = groups.get(binding.job);
         groups.set(binding.job, { binding, job, tasks: (known?.tasks ?? 0) + 1 });
@@ -691,7 +695,7 @@
           // What ends before it could be stopped is not worth stopping.
           .filter(({ binding, job }) => {
             const leftS = job.spec.estimateS - (now - (binding.runningAt ?? now)) / 1000;
-            return leftS > this.book.graceOf(job) || leftS < -job.spec.estimateS;
+            return leftS > this.shareState.graceOf(job) || leftS < -job.spec.estimateS;
           })
           .map(({ job, tasks }) => ({
             job: job.spec.id,
@@ -711,15 +715,15 @@
 
   /** What the leader should know. */
   private plan(
-    left: readonly Waiting[],
-    rooms: readonly Room[],
-    uses: Map<string, Use>,
+    left: readonly UnplacedRequest[],
+    rooms: readonly AvailableCapacity[],
+    uses: Map<string, Usage>,
     catalog: Catalog,
   ): void {
     const now = this.input.now();
     if (now - this.plannedAt < PLAN_MS) return;
     this.plannedAt = now;
-    const needs = needsOf(
+    const needs = unmetDemand(
       left,
       rooms,
       this.input.limits,
@@ -728,17 +732,17 @@
       this.input.objectives,
       this.input.wall(),
     );
-    const free = [...this.book.machines.values()].filter(
+    const free = [...this.shareState.machines.values()].filter(
       (machine) => machine.bound.size === 0 && this.movable(machine),
     );
     this.summary = {
       share: this.slot,
       claim: this.claim,
-      revision: this.input.mirror.revision,
+      revision: this.input.cache.revision,
       needs,
-      spares: sparesOf(free, now),
+      spares: spareMachines(free, now),
     };
-    // The leader hears at once of what is new; what merely goes on waiting comes with the next beat.
+    // The leader hears at once of what is new; what merely goes on waiting comes with the next heartbeat.
     const said = [
       ...needs.map((need) => `${need.tasks}:${need.gangs.map((gang) => gang.job).join()}`),
       needs.length > 0 ? this.summary.spares.length : '',
@@ -750,8 +754,8 @@
   /** Of the jobs with tasks on machines, a bounded number. */
   allCounts(): readonly (readonly [id: string, done: number, running: number])[] {
     const list: (readonly [string, number, number])[] = [];
-    for (const job of this.book.jobs.values()) {
-      if (list.length >= COUNTS_TOLD) break;
+    for (const job of this.shareState.jobs.values()) {
+      if (list.length >= TASK_COUNTS_MAX) break;
       const counts = job.bindings.size > 0 || job.done.size > 0 ? this.counts(job.spec.id) : null;
       if (counts) list.push([job.spec.id, counts.done, counts.running]);
     }
@@ -759,7 +763,7 @@
   }
 
   counts(id: string): { done: number; running: number } | null {
-    const job = this.book.jobs.get(id);
+    const job = this.shareState.jobs.get(id);
     if (!job) return null;
     let running = 0;
     for (const binding of job.bindings.values()) if (onMachine(binding.phase)) running += 1;
--- a/src/placement/needs.ts
+++ b/src/placement/unmet-demand.ts
@@ -1,21 +1,21 @@
 import {
-  ASK_TASKS,
-  HOLD_AFTER_MOST_MS,
-  HOLD_AFTER_MS,
-  HOLD_AFTER_TARGET,
-  HOLD_PLAIN_AFTER_MS,
-  NEEDS_NAMED,
-  SPARES_NAMED,
+  REQUEST_TASKS_MAX,
+  RESERVE_AFTER_MAX_MS,
+  RESERVE_AFTER_MS,
+  RESERVE_AFTER_TARGET,
+  RESERVE_ARRAY_AFTER_MS,
+  DEMAND_CLASSES_MAX,
+  SPARES_PER_KIND_MAX,
   TASKS_MAX,
 } from '../constants.js';
-import type { Need, Spare, Summary, WaitingGang } from '../fleet/records.js';
+import type { UnmetDemand, SpareMachine, Summary, WaitingGang } from '../fleet/records.js';
 import { howMany, placeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
-import { packAll, type Ask, type Limit, type Room, type Use } from './pack.js';
+import { packAll, type PlacementRequest, type Limit, type AvailableCapacity, type Usage } from './pack.js';
 import type { ShareMachine } from './state.js';
 import type { Objectives } from './urgency.js';
 
-export interface Waiting {
-  readonly ask: Ask;
+export interface UnplacedRequest {
+  readonly ask: PlacementRequest;
   readonly count: number;
 }
 
@@ -40,14 +40,14 @@
  * loosest start target; an array longer, since any machine that comes free will do for a start.
  */
 const patience = (spec: JobSpec, objectives: ReadonlyMap<string, Objectives>): number => {
-  if (spec.kind !== 'gang') return HOLD_PLAIN_AFTER_MS;
+  if (spec.kind !== 'gang') return RESERVE_ARRAY_AFTER_MS;
   const target = objectives.get(spec.klass)?.wait.at(-1);
   return target === undefined
-    ? HOLD_AFTER_MS
-    : Math.min(HOLD_AFTER_MOST_MS, target * 1000 * HOLD_AFTER_TARGET);
+    ? RESERVE_AFTER_MS
+    : Math.min(RESERVE_AFTER_MAX_MS, target * 1000 * RESERVE_AFTER_TARGET);
 };
 
-interface Open extends Need {
+interface Open extends UnmetDemand {
   tasks: number;
   gangs: WaitingGang[];
   cpus: number;
@@ -56,15 +56,15 @@
 }
 
 /** What is still needed once the machines that are coming are counted: one entry a class, the most urgent first. */
-export const needsOf = (
-  left: readonly Waiting[],
-  rooms: readonly Room[],
+export const unmetDemand = (
+  left: readonly UnplacedRequest[],
+  rooms: readonly AvailableCapacity[],
   limits: ReadonlyMap<string, Limit>,
-  uses: Map<string, Use>,
+  uses: Map<string, Usage>,
   catalog: Catalog,
   objectives: ReadonlyMap<string, Objectives>,
   wall: number,
-): readonly Need[] => {
+): readonly UnmetDemand[] => {
   const coming = packAll(
     // What was rented for this work must count for it before it may be used, or it is rented again; what was
     // rented for work that can use no spot must not be planned away for work that can.
@@ -83,7 +83,7 @@
     const key = needClass(spec, ask.urgency.rent, catalog);
     const waitedMs = wall - ask.at;
     // Of the others only those of which nothing has begun.
-    const listed = spec.kind === 'gang' || ask.waiting.length >= Math.min(spec.tasks, ASK_TASKS);
+    const listed = spec.kind === 'gang' || ask.waiting.length >= Math.min(spec.tasks, REQUEST_TASKS_MAX);
     const gang = listed
       ? [{ job: spec.id, tasks: count, waitedMs, patienceMs: patience(spec, objectives) }]
       : [];
@@ -96,7 +96,7 @@
       known.memoryGb = Math.max(known.memoryGb, spec.memoryGb);
       continue;
     }
-    if (needs.size >= NEEDS_NAMED) continue;
+    if (needs.size >= DEMAND_CLASSES_MAX) continue;
     const room: Record<string, number> = {};
     if (spec.oneZone) {
       for (const free of rooms) {
@@ -125,8 +125,8 @@
 };
 
 /** Free machines that may go to another share: a few of each kind, those that have been idle longest. */
-export const sparesOf = (machines: Iterable<ShareMachine>, now: number): readonly Spare[] => {
-  const kinds = new Map<string, Spare[]>();
+export const spareMachines = (machines: Iterable<ShareMachine>, now: number): readonly SpareMachine[] => {
+  const kinds = new Map<string, SpareMachine[]>();
   for (const machine of machines) {
     const key = `${machine.type}|${machine.zone}|${machine.spot}`;
     const list = kinds.get(key) ?? [];
@@ -139,10 +139,12 @@
       idleS: machine.idleSince === null ? 0 : (now - machine.idleSince) / 1000,
     });
   }
-  return [...kinds.values()].flatMap((list) => list.sort((a, b) => b.idleS - a.idleS).slice(0, SPARES_NAMED));
+  return [...kinds.values()].flatMap((list) =>
+    list.sort((a, b) => b.idleS - a.idleS).slice(0, SPARES_PER_KIND_MAX),
+  );
 };
 
-/** What siblings that don't lead hear: whether there is a spare of some kind, nothing of needs. */
+/** What peers that don't lead hear: whether there is a spare of some kind, nothing of needs. */
 export const briefly = (summary: Summary): Summary => {
   const kinds = new Set<string>();
   const spares = summary.spares.filter((spare) => {
--- a/src/placement/dialogue.test.ts
+++ b/src/placement/worker-sessions.test.ts
@@ -3,9 +3,9 @@
 import type { MachineType } from '../jobs/model.js';
 import type { JobSpec } from '../jobs/model.js';
 import type { Command, Report, ReportedTask } from '../workers/model.js';
-import { Book } from './book.js';
-import { Custody } from './custody.js';
-import { Dialogue } from './dialogue.js';
+import { ShareState } from './share-state.js';
+import { MachineLiveness } from './machine-liveness.js';
+import { WorkerSessions } from './worker-sessions.js';
 import type { ShareMachine } from './state.js';
 
 /** What reports are taken for, in which order, and what is concluded from silence: a table of short stories. */
@@ -46,19 +46,19 @@
 
 class Story {
   now = 1_000_000;
-  readonly book = new Book({ now: () => this.now, wall: () => this.now, poke: () => undefined });
-  readonly custody = new Custody({
-    machines: this.book.machines,
+  readonly shareState = new ShareState({ now: () => this.now, wall: () => this.now, poke: () => undefined });
+  readonly liveness = new MachineLiveness({
+    machines: this.shareState.machines,
     catalog: () => new Map([['g', type]]),
     workers: { lease_s: LEASE_S, report_s: 5, cancel_s: 2 * LEASE_S },
     now: () => this.now,
     wall: () => this.now,
   });
-  readonly dialogue = new Dialogue({
-    book: this.book,
+  readonly sessions = new WorkerSessions({
+    shareState: this.shareState,
     claim: 50,
     now: () => this.now,
-    leaseMs: this.custody.leaseMs,
+    leaseMs: this.liveness.leaseMs,
     loaded: () => true,
     isCancelled: () => false,
     placing: () => true,
@@ -66,18 +66,18 @@
     poke: () => undefined,
     direct: () => new Promise(() => undefined),
   });
-  readonly job = this.book.adoptJob(
+  readonly job = this.shareState.adoptJob(
     { spec, at: 0, cancelled: false, cancelledAt: null, follows: [], parts: 0 },
     1,
   );
   readonly machines: readonly ShareMachine[];
 
   constructor() {
-    this.custody.loadedAt = this.now;
+    this.liveness.loadedAt = this.now;
     this.machines = ['m-0', 'm-1'].map((id) => this.machine(id, this.now));
   }
   machine(id: string, since: number, spot = false): ShareMachine {
-    return this.book.addMachine(
+    return this.shareState.addMachine(
       id,
       { share: 0, type: 'g', zone: 'x', spot, at: since, releasing: false, addr: '', session: 0 },
       40,
@@ -86,8 +86,8 @@
   }
   bind(): void {
     this.machines.forEach((machine, index) => {
-      const binding = this.book.bind(this.job, index, 1, machine, { _tag: 'binding' });
-      this.book.apply(binding, { _tag: 'durable' });
+      const binding = this.shareState.bind(this.job, index, 1, machine, { _tag: 'binding' });
+      this.shareState.apply(binding, { _tag: 'durable' });
     });
   }
   report(id: string, seq: number, over: Partial<Report> = {}): boolean {
@@ -104,8 +104,8 @@
       tasks: [],
       ...over,
     };
-    if (this.dialogue.onReport(report) === null) return false;
-    this.last = this.dialogue.orders(report)?.commands ?? [];
+    if (this.sessions.onReport(report) === null) return false;
+    this.last = this.sessions.orders(report)?.commands ?? [];
     return true;
   }
   last: readonly Command[] = [];
@@ -113,8 +113,8 @@
     return this.job.bindings.get(index)?.phase._tag ?? 'none';
   }
   releases(): readonly string[] {
-    this.custody.watch();
-    return this.custody.toRelease(true).map(({ machine, why }) => `${machine.id} ${why}`);
+    this.liveness.watch();
+    return this.liveness.toRelease(true).map(({ machine, why }) => `${machine.id} ${why}`);
   }
 }
 const running: readonly ReportedTask[] = [{ job: 'job-1', index: 0, attempt: 1, state: { _tag: 'running' } }];
@@ -194,8 +194,8 @@
     name: 'a machine known only from a report that may be a late copy goes back after a lease of silence',
     run: (story) => {
       story.machine('m-2', 0);
-      const known = story.book.machines.get('m-2') as ShareMachine;
-      assert.equal(story.custody.expected(known, story.now, story.now), false);
+      const known = story.shareState.machines.get('m-2') as ShareMachine;
+      assert.equal(story.liveness.expected(known, story.now, story.now), false);
       story.now += (LEASE_S + 2) * 1_000;
       assert.deepEqual(story.releases(), ['m-2 never came up'], 'those that boot are given their time');
     },
@@ -218,4 +218,4 @@
     },
   },
 ];
-for (const story of stories) test(`dialogue: ${story.name}`, () => story.run(new Story()));
+for (const story of stories) test(`worker sessions: ${story.name}`, () => story.run(new Story()));
--- a/src/placement/dialogue.ts
+++ b/src/placement/worker-sessions.ts
@@ -1,15 +1,15 @@
 import { RUN_TRIES } from '../constants.js';
 import { log } from '../log.js';
 import type { Command, Report } from '../workers/model.js';
-import type { DirectResult } from '../workers/line.js';
-import { answer, readChanges } from '../workers/react.js';
-import type { Book } from './book.js';
+import type { DirectResult } from '../workers/worker-client.js';
+import { answer, readChanges } from '../workers/reconcile.js';
+import type { ShareState } from './share-state.js';
 import { chunkOf } from './records.js';
 import { bindingKey, type Binding, type ShareMachine } from './state.js';
 import { onMachine } from './task.js';
 
-export interface DialogueInput {
-  readonly book: Book;
+export interface WorkerSessionsInput {
+  readonly shareState: ShareState;
   readonly claim: number;
   readonly now: () => number;
   /** ms: a worker that we answered within this time has not lost its lease if it heard us. */
@@ -32,8 +32,8 @@
 const keyOf = (binding: Binding): string => bindingKey(binding.job, binding.index, binding.attempt);
 
 /** What the workers of a share say, and what they are told. */
-export class Dialogue {
-  constructor(private readonly input: DialogueInput) {}
+export class WorkerSessions {
+  constructor(private readonly input: WorkerSessionsInput) {}
 
   token(machine: ShareMachine): number {
     return Math.max(this.input.claim, machine.version);
@@ -41,8 +41,8 @@
 
   /** null: an older message than one already seen, a late copy, or one that knows a higher token than ours. */
   onReport(report: Report): { readonly hurry: boolean } | null {
-    const { book } = this.input;
-    const machine = book.machines.get(report.machine);
+    const { shareState } = this.input;
+    const machine = shareState.machines.get(report.machine);
     if (!machine) return null;
     const token = this.token(machine);
     if (report.token > token) return null;
@@ -72,10 +72,10 @@
     }
     machine.noticeS = report.noticeS;
     const bound = machine.bound.size;
-    for (const change of changes) book.apply(change.binding, change.event);
+    for (const change of changes) shareState.apply(change.binding, change.event);
     if (forgotUs) this.findDeaf(machine, 'its lease ran out although we answered');
     else this.checkHeard(machine);
-    if (machine.noticeAt !== null) book.drain(machine);
+    if (machine.noticeAt !== null) shareState.drain(machine);
     if (machine.confirmedToken !== 0 && !wasConfirmed) this.input.poke();
     // Room came free, or the machine came: what is placed on it next can travel in this very answer.
     const hurry = this.input.placing() && (machine.bound.size < bound || (underToken && !wasConfirmed));
@@ -99,9 +99,9 @@
     machine.raiseToken = true;
     for (const binding of [...machine.bound.values()]) {
       if (binding.phase._tag !== 'bound') continue;
-      const job = this.input.book.jobs.get(binding.job);
-      if (job?.spec.kind === 'gang') this.input.book.breakGang(job);
-      else this.input.book.stop(binding, 'broken', 0);
+      const job = this.input.shareState.jobs.get(binding.job);
+      if (job?.spec.kind === 'gang') this.input.shareState.breakGang(job);
+      else this.input.shareState.stop(binding, 'broken', 0);
     }
     this.input.poke();
   }
@@ -132,7 +132,7 @@
   private byMachine(bindings: Iterable<Binding>): ReadonlyMap<ShareMachine, Binding[]> {
     const lists = new Map<ShareMachine, Binding[]>();
     for (const binding of bindings) {
-      const machine = this.input.book.machines.get(binding.machine);
+      const machine = this.input.shareState.machines.get(binding.machine);
       if (!machine || machine.addr === '' || machine.confirmedToken === 0) continue;
       const list = lists.get(machine);
       if (list) list.push(binding);
@@ -146,7 +146,7 @@
    * tasks wait for each other, and reports alone may take as long. A late copy stops only what is to stop anyway.
    */
   sendStops(): void {
-    const { stops } = this.input.book;
+    const { stops } = this.input.shareState;
     if (stops.size === 0) return;
     const waiting = [...stops].filter((binding) => binding.stop && onMachine(binding.phase));
     stops.clear();
@@ -201,14 +201,14 @@
    * may be on its way at the same time.
    */
   private onDirectReport(machine: ShareMachine, report: Report): void {
-    const { book } = this.input;
-    if (this.input.lost() || !this.input.loaded() || book.machines.get(machine.id) !== machine) return;
+    const { shareState } = this.input;
+    if (this.input.lost() || !this.input.loaded() || shareState.machines.get(machine.id) !== machine) return;
     if (report.session < machine.session) return;
     for (const task of report.tasks) {
       const binding = machine.bound.get(bindingKey(task.job, task.index, task.attempt));
       const seen = binding?.seen;
       if (!binding || (seen && seen.session === report.session && seen.seq >= report.seq)) continue;
-      book.apply(binding, { _tag: 'reported', state: task.state });
+      shareState.apply(binding, { _tag: 'reported', state: task.state });
     }
     this.noteSeen(machine, report);
   }
@@ -218,7 +218,7 @@
     const token = this.token(machine);
     void this.input.direct(machine.addr, token, session, []).then((result) => {
       if (
-        this.input.book.machines.get(machine.id) !== machine ||
+        this.input.shareState.machines.get(machine.id) !== machine ||
         this.token(machine) !== token ||
         machine.confirmedToken !== 0
       )
@@ -238,7 +238,7 @@
 
   /** The commands that answer a machine's last report. */
   orders(report: Report): { readonly token: number; readonly commands: readonly Command[] } | null {
-    const machine = this.input.book.machines.get(report.machine);
+    const machine = this.input.shareState.machines.get(report.machine);
     if (!machine || machine.seq !== report.seq || machine.session !== report.session) return null;
     const token = this.token(machine);
     if (!this.input.loaded()) return { token, commands: this.stopsOfCancelled(report) };
@@ -269,6 +269,6 @@
 
   /** The state service no longer binds this attempt: a later holder won't start it again. */
   settled(key: string, job: string, index: number): boolean {
-    return !(this.input.book.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false);
+    return !(this.input.shareState.jobs.get(job)?.chunks.get(chunkOf(index))?.durable.has(key) ?? false);
   }
 }
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -4,7 +4,7 @@
 import { writeFinalRecord } from '../jobs/codec.js';
 import type { FinalRecord, FinalState } from '../jobs/model.js';
 import { log } from '../log.js';
-import type { Rank } from '../store/budget.js';
+import type { Rank } from '../store/rate-limiter.js';
 import type { Condition, Store, TxnResult, Write } from '../store/client.js';
 import { claimKey, finalKey, followsKey, jobKey, machineKey, runKey, runPartKey } from '../store/keys.js';
 import {
--- a/src/service.ts
+++ b/src/service.ts
@@ -2,31 +2,35 @@
 import * as Cause from 'effect/Cause';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
-import { Assurance, readHeed, type Cancellation } from './cancellation/assurance.js';
-import { rideUntil } from './cancellation/evidence.js';
-import { Marks } from './cancellation/mark.js';
+import {
+  CancellationAcknowledgement,
+  readAcknowledgeRequest,
+  type Cancellation,
+} from './cancellation/acknowledgement.js';
+import { outageGraceUntil } from './cancellation/evidence.js';
+import { DurableAcknowledgements } from './cancellation/durable-acknowledgement.js';
 import { LEADER } from './claims/decide.js';
-import { Keeper } from './claims/keeper.js';
+import { LeaseManager } from './claims/lease-manager.js';
 import {
-  BEAT_FRESH_MS,
-  BEAT_MS,
+  HEARTBEAT_FRESH_MS,
+  HEARTBEAT_MS,
   BODY_MAX_BYTES,
   CLOCK_DRIFT,
   CLOUD_TIMEOUT_MS,
-  LEVEL,
-  LEVEL_HEEDS,
-  LEVEL_PIPELINES,
+  PROTOCOL_VERSION,
+  PROTOCOL_ACKNOWLEDGES_CANCELLATIONS,
+  PROTOCOL_PIPELINES,
   RELEASE_MAX,
-  RIDE_MARGIN_MS,
+  OUTAGE_GRACE_MARGIN_MS,
   ANSWER_MAX_BYTES,
-  SOCKETS_DIRECT,
-  SOCKETS_IN,
+  WORKER_CLIENT_SOCKET_SHARE,
+  INCOMING_SOCKET_SHARE,
   USER_BUDGET_MS,
 } from './constants.js';
 import { Cloud } from './fleet/cloud.js';
 import { readStored, toCatalog } from './fleet/catalog.js';
 import { Leader } from './fleet/leader.js';
-import type { Hold, Move, Summary } from './fleet/records.js';
+import type { Reservation, Move, Summary } from './fleet/records.js';
 import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
 import { UsersApi } from './jobs/api.js';
 import { readJobRecord } from './jobs/codec.js';
@@ -39,13 +43,13 @@
   type JobSpec,
 } from './jobs/model.js';
 import { log } from './log.js';
-import { Detour } from './mesh/detour.js';
-import { Level } from './mesh/level.js';
-import { Mesh, rateFor } from './mesh/mesh.js';
+import { StoreRelay } from './peers/store-relay.js';
+import { ProtocolVersion } from './peers/protocol-version.js';
+import { PeerNetwork, rateFor } from './peers/network.js';
 import { unpackIds } from './pipelines/codec.js';
 import { Finals } from './pipelines/finals.js';
 import { Pipelines } from './pipelines/pipelines.js';
-import { briefly } from './placement/needs.js';
+import { briefly } from './placement/unmet-demand.js';
 import { readObjectives } from './placement/urgency.js';
 import { Share, type ShareInput } from './placement/share.js';
 import type { Settings } from './settings/schema.js';
@@ -53,10 +57,10 @@
 import { divideTeams, nodeNames } from './settings/teams.js';
 import { Store } from './store/client.js';
 import { CATALOG_KEY, claimKey, followsKey, jobKey } from './store/keys.js';
-import { FreshReads } from './store/fresh.js';
-import { Mirror } from './store/mirror.js';
-import { Line, type DirectLine } from './workers/line.js';
-import { Desk } from './workers/desk.js';
+import { LinearizableReads } from './store/linearizable-reads.js';
+import { WatchCache } from './store/watch-cache.js';
+import { WorkerClient, type DirectCommands } from './workers/worker-client.js';
+import { ReportHandler } from './workers/report-handler.js';
 
 /** What a controller needs of the world outside; tests put stand-ins here. */
 export interface Ports {
@@ -67,14 +71,14 @@
   /** Differs for every process that ever runs as this node. */
   readonly incarnation: string;
   readonly callers: Callers;
-  readonly line: DirectLine;
+  readonly workerClient: DirectCommands;
 }
 
 export interface Controller {
   /** Users, workers and health checks. */
   readonly route: (call: Call) => Promise<Reply>;
   /** The other controllers. */
-  readonly mesh: (call: Call) => Promise<Reply>;
+  readonly peerRoute: (call: Call) => Promise<Reply>;
   readonly run: Effect.Effect<unknown>;
   /** Ends what runs beside `run`. */
   readonly stop: () => void;
@@ -82,7 +86,7 @@
 
 /** Composes the slices of one controller. */
 export const compose = (settings: Settings, ports: Ports): Controller => {
-  const { now, wall, line, callers } = ports;
+  const { now, wall, workerClient: line, callers } = ports;
   const me = { node: settings.host_name, incarnation: ports.incarnation };
   const { facts } = settings;
   const nodes = nodeNames(settings);
@@ -103,17 +107,17 @@
     now,
     callers,
   );
-  const mirror = new Mirror(store, now);
-  const fresh = new FreshReads(store);
+  const cache = new WatchCache(store, now);
+  const fresh = new LinearizableReads(store);
   const finals = new Finals(store);
   const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now, callers);
 
   let catalogVersion = 0;
   let catalogValue: Catalog | null = null;
   const catalog = (): Catalog | null => {
-    const item = mirror.get(CATALOG_KEY);
+    const item = cache.get(CATALOG_KEY);
     if (item && item.version !== catalogVersion) {
-      const types = readStored(item, (key) => mirror.get(key));
+      const types = readStored(item, (key) => cache.get(key));
       // What was known before holds until all parts are there.
       if (types === null) return catalogValue;
       catalogVersion = item.version;
@@ -125,26 +129,26 @@
   const shares = new Map<number, { share: Share; fiber: Fiber.Fiber<unknown> }>();
   const stateAge = (): number => (store.okAt === 0 ? Number.MAX_SAFE_INTEGER : now() - store.okAt);
 
-  const leaderNode = (): string | undefined => keeper.claim(LEADER)?.node;
+  const leaderNode = (): string | undefined => leases.claim(LEADER)?.node;
 
-  const mesh: Mesh = new Mesh({
+  const peerNetwork: PeerNetwork = new PeerNetwork({
     me: me.node,
-    siblings: settings.siblings,
+    peers: settings.siblings,
     now,
     callers,
     leader: leaderNode,
-    beat: (to) => ({
+    heartbeat: (to) => ({
       from: me.node,
       incarnation: me.incarnation,
-      level: LEVEL,
-      lease: keeper.lease,
+      level: PROTOCOL_VERSION,
+      lease: leases.lease,
       stateAgeMs: stateAge(),
       counts: [...shares].map(([slot, { share }]) => ({ slot, jobs: share.allCounts() })),
       summaries: to === leaderNode() ? ownSummaries() : ownSummaries().map(briefly),
-      deaf: keeper.deaf,
-      strays: desk.strayCounts(BEAT_FRESH_MS * 2),
+      deaf: leases.deaf,
+      strays: reportHandler.strayCounts(HEARTBEAT_FRESH_MS * 2),
       demand: { requests: store.requests.demand(), changes: store.changes.demand() },
-      holds: keeper.entitled(LEADER) === null ? [] : leader.holds,
+      holds: leases.entitled(LEADER) === null ? [] : leader.holds,
     }),
     answer: async (path, body) => {
       switch (path) {
@@ -158,7 +162,7 @@
           return { returned: await leader.returnNow(machines) };
         }
         case '/heed':
-          return { heeded: readHeed(body).map(heed) };
+          return { heeded: readAcknowledgeRequest(body).map(acknowledge) };
         default:
           return null;
       }
@@ -166,42 +170,48 @@
   });
 
   /** Puts a cancellation to a share of ours, if this process holds it under that very claim. */
-  const heed = ({ slot, claim, job, version }: Cancellation): boolean => {
+  const acknowledge = ({ slot, claim, job, version }: Cancellation): boolean => {
     const held = shares.get(slot)?.share;
-    return held?.claim === claim && held.heed(job, version);
+    return held?.claim === claim && held.acknowledge(job, version);
   };
 
-  const level = new Level({ store, mirror, announced: () => mesh.announced() });
+  const protocolVersion = new ProtocolVersion({
+    store,
+    cache: cache,
+    announced: () => peerNetwork.announced(),
+  });
 
-  const assurance = new Assurance({
+  const acknowledgement = new CancellationAcknowledgement({
     me: me.node,
     store,
     fresh,
-    mirror,
-    heed,
-    ask: (node, path, body) => mesh.ask(node, path, body),
-    summaries: () => mesh.summaries(),
+    cache: cache,
+    acknowledge,
+    ask: (node, path, body) => peerNetwork.ask(node, path, body),
+    summaries: () => peerNetwork.summaries(),
     understands: (node) =>
-      node === me.node || level.agreed >= LEVEL_HEEDS || mesh.understands(node, LEVEL_HEEDS),
+      node === me.node ||
+      protocolVersion.agreed >= PROTOCOL_ACKNOWLEDGES_CANCELLATIONS ||
+      peerNetwork.understands(node, PROTOCOL_ACKNOWLEDGES_CANCELLATIONS),
   });
 
-  const marks = new Marks({
+  const durableAcknowledgements = new DurableAcknowledgements({
     store,
-    mirror,
+    cache: cache,
     held: () =>
       [...shares.keys()].flatMap((slot) => {
         const held = entitledShare(slot);
         return held && held.stage !== 'loading' ? [{ slot, claim: held.claim }] : [];
       }),
-    allHeard: () => mesh.allHeard(),
+    allHeard: () => peerNetwork.allHeard(),
   });
 
   /** Each node's part of the state service's rates follows what the nodes ask for. */
   const shareRates = Effect.forever(
     Effect.andThen(
-      Effect.sleep(BEAT_MS),
+      Effect.sleep(HEARTBEAT_MS),
       Effect.sync(() => {
-        const others = mesh.demands();
+        const others = peerNetwork.demands();
         store.requests.setRate(
           rateFor(
             store.rates.requests,
@@ -222,20 +232,20 @@
 
   /** Most nodes, this one included, can't reach the state service, and no node says that it can. */
   const outage = (): boolean => {
-    if (stateAge() < BEAT_FRESH_MS) return false;
-    const word = mesh.stateWord();
+    if (stateAge() < HEARTBEAT_FRESH_MS) return false;
+    const word = peerNetwork.stateReachability();
     return word.up === 0 && (word.down + 1) * 2 > nodes.length;
   };
 
   /** The time for which this node may go on answering workers without renewals. */
   const ride = (): number | null =>
-    rideUntil({
+    outageGraceUntil({
       confirmed: outage(),
-      nobodyTells: level.agreed >= LEVEL_HEEDS && mesh.allDown(),
-      freshAt: mirror.freshAt,
+      nobodyTells: protocolVersion.agreed >= PROTOCOL_ACKNOWLEDGES_CANCELLATIONS && peerNetwork.allDown(),
+      freshAt: cache.freshAt,
       cancelMs: facts.workers.cancel_s * 1000 * (1 - CLOCK_DRIFT),
       leaseMs: facts.workers.lease_s * 1000 * (1 + CLOCK_DRIFT),
-      marginMs: RIDE_MARGIN_MS,
+      marginMs: OUTAGE_GRACE_MARGIN_MS,
     });
 
   /** Shares of ours whose workers all fell silent here while another node hears half of them. */
@@ -243,25 +253,25 @@
     const found = new Map<string, string>();
     for (const [slot, { share }] of shares) {
       const { machines, heard } = share.hearing();
-      const strays = mesh.strays(String(slot));
+      const strays = peerNetwork.strays(String(slot));
       if (machines > 0 && heard === 0 && strays && strays.count * 2 >= machines)
         found.set(String(slot), strays.node);
     }
     return found;
   };
 
-  const keeper: Keeper = new Keeper(store, mirror, {
+  const leases: LeaseManager = new LeaseManager(store, cache, {
     me,
     nodes,
     slotCount: slots,
-    siblings: () => mesh.siblings(),
-    rideUntil: ride,
+    peers: () => peerNetwork.peers(),
+    outageGraceUntil: ride,
     unheard,
     now,
   });
 
   const entitledShare = (slot: number): Share | null => {
-    const claim = keeper.entitled(String(slot));
+    const claim = leases.entitled(String(slot));
     const held = shares.get(slot)?.share;
     return claim !== null && held && held.claim === claim && held.stage !== 'lost' ? held : null;
   };
@@ -270,20 +280,20 @@
 
   const summaryOf = (slot: number, heard: readonly Summary[]): Summary | null =>
     heard.find((summary) => summary.share === slot) ??
-    detour.summary(slot, keeper.claim(String(slot))?.version ?? -1);
+    relay.summary(slot, leases.claim(String(slot))?.version ?? -1);
 
   const leader: Leader = new Leader({
     store,
-    mirror,
+    cache: cache,
     cloud,
     shares: slots,
     listLagS: facts.cloud.list_lag_s,
     valueBytes,
-    maySplit: () => level.agreed >= LEVEL_PIPELINES,
+    maySplit: () => protocolVersion.agreed >= PROTOCOL_PIPELINES,
     catalog,
-    entitled: () => keeper.entitled(LEADER),
+    entitled: () => leases.entitled(LEADER),
     summaries: () => {
-      const heard = [...ownSummaries(), ...mesh.summaries()];
+      const heard = [...ownSummaries(), ...peerNetwork.summaries()];
       return Array.from({ length: slots }, (_, slot) => summaryOf(slot, heard)).filter(
         (summary) => summary !== null,
       );
@@ -291,43 +301,43 @@
     move: (from, moves) => {
       const held = entitledShare(from);
       if (held) return Effect.promise(() => held.give(moves));
-      const holder = keeper.claim(String(from))?.node;
+      const holder = leases.claim(String(from))?.node;
       if (holder === undefined || holder === me.node) return Effect.void;
-      if (mesh.fresh(holder) === null) return detour.order(from, moves, leader.holds);
-      return Effect.promise(() => mesh.ask(holder, '/move', { moves, from }));
+      if (peerNetwork.fresh(holder) === null) return relay.order(from, moves, leader.holds);
+      return Effect.promise(() => peerNetwork.ask(holder, '/move', { moves, from }));
     },
     now,
     wall,
   });
 
-  const detour: Detour = new Detour({
+  const relay: StoreRelay = new StoreRelay({
     store,
     valueBytes,
     now,
-    leaderClaim: () => keeper.claim(LEADER)?.version ?? null,
+    leaderClaim: () => leases.claim(LEADER)?.version ?? null,
     cutOff: () => {
       const to = leaderNode();
-      return to === undefined || to === me.node || mesh.fresh(to) !== null ? [] : ownSummaries();
+      return to === undefined || to === me.node || peerNetwork.fresh(to) !== null ? [] : ownSummaries();
     },
     give: (slot, moves) => {
       void entitledShare(slot)?.give(moves);
     },
   });
 
-  const holdsFor = (slot: number): readonly Hold[] => {
-    if (keeper.entitled(LEADER) !== null) return leader.holds;
+  const holdsFor = (slot: number): readonly Reservation[] => {
+    if (leases.entitled(LEADER) !== null) return leader.holds;
     const from = leaderNode();
-    const beat = from === undefined ? null : mesh.fresh(from);
-    return beat ? beat.holds : detour.holds(slot);
+    const beat = from === undefined ? null : peerNetwork.fresh(from);
+    return beat ? beat.holds : relay.holds(slot);
   };
 
-  const desk = new Desk({
+  const reportHandler = new ReportHandler({
     me: me.node,
-    mirror,
+    cache: cache,
     now,
     share: entitledShare,
     adopt: (report) => {
-      if (keeper.entitled(LEADER) === null) return false;
+      if (leases.entitled(LEADER) === null) return false;
       leader.adopt(report.machine, report.type, report.zone, report.spot);
       return true;
     },
@@ -335,7 +345,7 @@
 
   const shareInput = (slot: number, claim: number): ShareInput => ({
     store,
-    mirror,
+    cache: cache,
     catalog,
     scarce: (type) => scarceTypes.has(type),
     shareOfTeam,
@@ -344,12 +354,12 @@
     objectives,
     workers: facts.workers,
     valueBytes,
-    maySplit: () => level.agreed >= LEVEL_PIPELINES,
+    maySplit: () => protocolVersion.agreed >= PROTOCOL_PIPELINES,
     coreShare: facts.quota.core_share,
     holds: () => holdsFor(slot),
-    entitled: () => keeper.entitled(String(slot)) === claim,
+    entitled: () => leases.entitled(String(slot)) === claim,
     spareElsewhere: (own, spec) =>
-      [...ownSummaries(), ...mesh.summaries()].some(
+      [...ownSummaries(), ...peerNetwork.summaries()].some(
         (summary) =>
           summary.share !== own &&
           summary.spares.some((spare) => {
@@ -361,18 +371,18 @@
     wall,
     // Asked for at the very moment of sending: this process may have stood still since the decision.
     direct: (addr, token, session, commands) =>
-      keeper.entitled(String(slot)) === claim
+      leases.entitled(String(slot)) === claim
         ? line.send(addr, token, session, commands)
         : Promise.resolve({ _tag: 'refused', report: null }),
     returnNow: async (machines) => {
       const some = machines.slice(0, RELEASE_MAX);
-      if (some.length < machines.length || keeper.entitled(String(slot)) !== claim) return false;
+      if (some.length < machines.length || leases.entitled(String(slot)) !== claim) return false;
       // Where the state service answers, the record is the way: it tells a later leader too.
-      if (stateAge() < BEAT_FRESH_MS) return false;
+      if (stateAge() < HEARTBEAT_FRESH_MS) return false;
       const to = leaderNode();
       if (to === undefined) return false;
       if (to === me.node) return leader.returnNow(some);
-      const answer = (await mesh.ask(to, '/return', { machines: some }, CLOUD_TIMEOUT_MS)) as {
+      const answer = (await peerNetwork.ask(to, '/return', { machines: some }, CLOUD_TIMEOUT_MS)) as {
         returned?: boolean;
       } | null;
       return answer?.returned === true;
@@ -380,12 +390,12 @@
     settled: (job, final) => pipelines.settle(job, final),
     readiness: (job) => pipelines.readiness(job),
     standing: (job) => pipelines.standing(job),
-    changed: () => mesh.hurry(),
+    changed: () => peerNetwork.notifyLeader(),
   });
 
   /** A share object lives as long as this process's claim with this very revision. */
   const followClaim = (slot: number): void => {
-    const claim = keeper.mine(String(slot));
+    const claim = leases.mine(String(slot));
     const held = shares.get(slot);
     if (held && held.share.claim === claim) return;
     if (held) {
@@ -400,7 +410,7 @@
   };
 
   const pipelines = new Pipelines({
-    mirror,
+    cache: cache,
     finals,
     ours: (team) => shares.has(shareOfTeam.get(team) ?? 0),
     changed: (ids) => {
@@ -410,7 +420,7 @@
   /** The jobs that one follows; null: not all parts of the list are there yet. */
   const followsOf = (record: JobRecord): readonly string[] | null => {
     const parts = Array.from({ length: record.parts }, (_, part) =>
-      mirror.get(followsKey(record.spec.id, part)),
+      cache.get(followsKey(record.spec.id, part)),
     );
     if (parts.some((part) => part === undefined)) return null;
     return [...record.follows, ...parts.flatMap((part) => unpackIds(part?.value as string[]))];
@@ -425,10 +435,10 @@
     if (fits.length === 1 && fits[0]) scarceTypes.add(fits[0].name);
   };
 
-  mirror.onEvent((event) => {
+  cache.onEvent((event) => {
     const key = event._tag === 'put' ? event.item.key : event.key;
     const id = key.slice(4);
-    detour.onEvent(event);
+    relay.onEvent(event);
     if (key.startsWith('w/c/')) {
       for (let slot = 0; slot < slots; slot += 1) if (key === claimKey(String(slot))) followClaim(slot);
       return;
@@ -437,11 +447,12 @@
       const record = readJobRecord(event.item.value);
       noteScarce(record.spec);
       pipelines.onJob(id, record, followsOf(record));
-      if (record.cancelled) marks.saw(shareOfTeam.get(record.spec.team) ?? 0, event.item.version);
+      if (record.cancelled)
+        durableAcknowledgements.saw(shareOfTeam.get(record.spec.team) ?? 0, event.item.version);
     }
     // A part may be seen after the record that it belongs to.
     if (event._tag === 'put' && key.startsWith('w/d/')) {
-      const item = mirror.get(jobKey(id.slice(0, id.indexOf('/'))));
+      const item = cache.get(jobKey(id.slice(0, id.indexOf('/'))));
       if (item) {
         const record = readJobRecord(item.value);
         pipelines.onJob(record.spec.id, record, followsOf(record));
@@ -464,25 +475,25 @@
     fresh,
     finals,
     pipelines,
-    takesPipelines: () => level.agreed >= LEVEL_PIPELINES,
+    takesPipelines: () => protocolVersion.agreed >= PROTOCOL_PIPELINES,
     valueBytes,
-    copyAgeMs: () => now() - mirror.freshAt,
-    assured: (id, team, version) => assurance.assured(shareOfTeam.get(team) ?? 0, id, version),
-    mirror,
+    copyAgeMs: () => now() - cache.freshAt,
+    assured: (id, team, version) => acknowledgement.assured(shareOfTeam.get(team) ?? 0, id, version),
+    cache: cache,
     catalog,
     zones: facts.zones,
     limits,
     counts: (id, team) => {
       const slot = shareOfTeam.get(team) ?? 0;
-      return entitledShare(slot)?.counts(id) ?? mesh.counts(slot, id);
+      return entitledShare(slot)?.counts(id) ?? peerNetwork.counts(slot, id);
     },
     wall,
   });
 
   /** Ready means: takes users' requests at least as well as the other nodes. */
   const ready = (): boolean => {
-    if (!mirror.ready || catalog() === null) return false;
-    return stateAge() < BEAT_FRESH_MS || mesh.stateWord().up === 0;
+    if (!cache.ready || catalog() === null) return false;
+    return stateAge() < HEARTBEAT_FRESH_MS || peerNetwork.stateReachability().up === 0;
   };
 
   /** One timer a call: a fiber for each that only waits would cost more than most answers. */
@@ -501,7 +512,9 @@
     if (call.path === '/ready') return Promise.resolve({ status: ready() ? 200 : 503 });
     if (call.path === '/hello') {
       if (call.method !== 'POST') return Promise.resolve({ status: 405, headers: { allow: 'POST' } });
-      return call.body._tag === 'value' ? desk.handle(call.body.value) : Promise.resolve({ status: 400 });
+      return call.body._tag === 'value'
+        ? reportHandler.handle(call.body.value)
+        : Promise.resolve({ status: 400 });
     }
     if (parts[0] === 'v2' && parts[1] === 'runs') return inTime(users.handle(call, parts.slice(2)));
     return Promise.resolve({ status: 404 });
@@ -509,18 +522,18 @@
 
   return {
     route,
-    mesh: (call) => mesh.handle(call),
+    peerRoute: (call) => peerNetwork.handle(call),
     run: Effect.all(
       [
-        supervise('mirror', mirror.run),
-        supervise('claims', keeper.run),
-        supervise('mesh', mesh.run),
+        supervise('cache', cache.run),
+        supervise('leases', leases.run),
+        supervise('peers', peerNetwork.run),
         supervise('leader', leader.run),
-        supervise('detour', detour.run),
+        supervise('relay', relay.run),
         supervise('rates', shareRates),
-        supervise('level', level.run),
+        supervise('protocolVersion', protocolVersion.run),
         supervise('pipelines', pipelines.run),
-        supervise('marks', marks.run),
+        supervise('acknowledgements', durableAcknowledgements.run),
       ],
       { concurrency: 'unbounded' },
     ),
@@ -540,10 +553,10 @@
     wall: () => Date.now(),
     incarnation: randomUUID(),
     callers: (target, sockets) => new Client(target, sockets),
-    line: new Line(Math.floor(settings.facts.quota.fd_limit * SOCKETS_DIRECT)),
+    workerClient: new WorkerClient(Math.floor(settings.facts.quota.fd_limit * WORKER_CLIENT_SOCKET_SHARE)),
   });
   const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
-  const connections = Math.floor(settings.facts.quota.fd_limit * SOCKETS_IN);
+  const connections = Math.floor(settings.facts.quota.fd_limit * INCOMING_SOCKET_SHARE);
   await serve(
     parseTarget(settings.api_addr),
     { connections, crowd: (path) => path === '/hello' },
@@ -555,7 +568,7 @@
     parseTarget(settings.mesh_addr),
     { connections: (settings.siblings.length + 1) * 16 },
     ANSWER_MAX_BYTES,
-    controller.mesh,
+    controller.peerRoute,
     failed,
   );
   log.info({
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -14,7 +14,7 @@
   WATCH_SHARE,
 } from '../constants.js';
 import type { Answer, Caller, Callers, Target } from '../http.js';
-import { Budget, type Rank } from './budget.js';
+import { RateLimiter, type Rank } from './rate-limiter.js';
 
 /** The one module that speaks to the state service. */
 export interface Condition {
@@ -76,8 +76,8 @@
   private readonly calls: Caller;
   private readonly watches: Caller;
   private readonly leases: Caller;
-  readonly requests: Budget;
-  readonly changes: Budget;
+  readonly requests: RateLimiter;
+  readonly changes: RateLimiter;
   /** When the service last answered anything but 503 here. */
   okAt = 0;
 
@@ -90,8 +90,8 @@
     this.calls = callers(target, 12);
     this.watches = callers(target, 4);
     this.leases = callers(target, 2);
-    this.requests = new Budget(limits.rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
-    this.changes = new Budget(limits.write_rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
+    this.requests = new RateLimiter(limits.rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
+    this.changes = new RateLimiter(limits.write_rps / limits.nodes, STORE_RESERVE, STORE_QUEUE_MS, now);
     this.txnOps = limits.txn_ops;
     this.watchGapMs = (1000 * limits.nodes) / (limits.rps * WATCH_SHARE);
     this.rates = { requests: limits.rps, changes: limits.write_rps };
--- a/src/store/clients.test.ts
+++ b/src/store/clients.test.ts
@@ -4,7 +4,7 @@
 import { Cloud } from '../fleet/cloud.js';
 import type { Answer, Callers } from '../http.js';
 import { Store } from './client.js';
-import { Mirror } from './mirror.js';
+import { WatchCache } from './watch-cache.js';
 
 /** Clients against stand-ins that answer one thing: what each answer is taken to mean. */
 const saying =
@@ -88,15 +88,15 @@
   });
 }
 
-test('mirror: an older change never undoes a newer one', () => {
-  const mirror = new Mirror(store(silence));
+test('cache: an older change never undoes a newer one', () => {
+  const cache = new WatchCache(store(silence));
   const seen: string[] = [];
-  mirror.onEvent((event) => seen.push(event._tag));
-  mirror.apply({ _tag: 'put', item: { key: 'w/c/0', value: 2, version: 20 } });
-  mirror.apply({ _tag: 'put', item: { key: 'w/c/0', value: 1, version: 10 } });
-  mirror.apply({ _tag: 'delete', key: 'w/c/0', version: 15 });
-  assert.equal(mirror.get('w/c/0')?.value, 2);
-  mirror.apply({ _tag: 'delete', key: 'w/c/0', version: 25 });
-  assert.equal(mirror.get('w/c/0'), undefined);
+  cache.onEvent((event) => seen.push(event._tag));
+  cache.apply({ _tag: 'put', item: { key: 'w/c/0', value: 2, version: 20 } });
+  cache.apply({ _tag: 'put', item: { key: 'w/c/0', value: 1, version: 10 } });
+  cache.apply({ _tag: 'delete', key: 'w/c/0', version: 15 });
+  assert.equal(cache.get('w/c/0')?.value, 2);
+  cache.apply({ _tag: 'delete', key: 'w/c/0', version: 25 });
+  assert.equal(cache.get('w/c/0'), undefined);
   assert.deepEqual(seen, ['put', 'delete']);
 });
