--- a/src/store/limits.test.ts
+++ b/src/store/limits.test.ts
@@ -7,14 +7,14 @@
 import { UsersApi } from '../jobs/api.js';
 import { readJobRecord, writeCancelledRecord, writeJobRecord } from '../jobs/codec.js';
 import type { JobRecord, JobSpec, MachineType } from '../jobs/model.js';
-import { Detour } from '../mesh/detour.js';
+import { StoreRelay } from '../peers/store-relay.js';
 import { unpackIds } from '../pipelines/codec.js';
 import { Finals } from '../pipelines/finals.js';
 import { partsOf, readRunRecord, storeRun, type RunRecord } from '../placement/records.js';
 import { lasting } from '../settings/limits.js';
 import { submission } from '../testing/bodies.js';
 import { Store, type Item } from './client.js';
-import { FreshReads } from './fresh.js';
+import { LinearizableReads } from './linearizable-reads.js';
 
 /** Every kind of record at the smallest limits known: values of 2 KiB, ten changes a transaction. */
 const BYTES = 2 * 1024;
@@ -156,14 +156,14 @@
   const catalog = new Map(types(1).map((type) => [type.name, type]));
   return new UsersApi({
     store,
-    fresh: new FreshReads(store),
+    fresh: new LinearizableReads(store),
     finals: new Finals(store),
     pipelines: { readiness: () => ({ _tag: 'waiting' }), resolve: () => Effect.succeed(true) },
     takesPipelines: () => true,
     valueBytes: BYTES,
     copyAgeMs: () => 0,
     assured: () => Effect.succeed(true),
-    mirror: { get: copy },
+    cache: { get: copy },
     catalog: () => catalog,
     zones: ['a'],
     limits: new Map([['red', { cpusMax: 0, gpusMax: 8 }]]),
@@ -295,7 +295,7 @@
 
 test('limits: orders and summaries that go through the state service', async () => {
   const { store, writes } = noting();
-  const detour = new Detour({
+  const detour = new StoreRelay({
     store,
     valueBytes: BYTES,
     now: () => 1e6,
--- a/src/store/budget.ts
+++ b/src/store/rate-limiter.ts
@@ -1,4 +1,9 @@
-import { BUDGET_DOWN, BUDGET_LOOK_MS, BUDGET_PUMP_MS, BUDGET_WINDOW_MS } from '../constants.js';
+import {
+  RATE_DOWN_PAYMENT,
+  RATE_QUEUE_MAX_MS,
+  RATE_QUEUE_MIN_MS,
+  RATE_DEMAND_WINDOW_MS,
+} from '../constants.js';
 
 /** A token bucket with ranks: renewals and users' calls pass while background work waits. */
 export type Rank = 'vital' | 'user' | 'bind' | 'work';
@@ -10,7 +15,7 @@
   readonly settle: (granted: boolean) => void;
 }
 
-export class Budget {
+export class RateLimiter {
   private level: number;
   private at: number;
   private readonly queues: Record<Rank, Waiting[]> = { vital: [], user: [], bind: [], work: [] };
@@ -47,13 +52,13 @@
   /** Tokens asked for a second, over the last window or two. */
   demand(): number {
     this.turnWindow();
-    const spanS = (BUDGET_WINDOW_MS + this.now() - this.windowAt) / 1000;
+    const spanS = (RATE_DEMAND_WINDOW_MS + this.now() - this.windowAt) / 1000;
     return (this.wanted + this.wantedBefore) / spanS;
   }
   private turnWindow(): void {
     const passed = this.now() - this.windowAt;
-    if (passed < BUDGET_WINDOW_MS) return;
-    this.wantedBefore = passed < 2 * BUDGET_WINDOW_MS ? this.wanted : 0;
+    if (passed < RATE_DEMAND_WINDOW_MS) return;
+    this.wantedBefore = passed < 2 * RATE_DEMAND_WINDOW_MS ? this.wanted : 0;
     this.wanted = 0;
     this.windowAt = this.now();
   }
@@ -83,7 +88,7 @@
    * it. Were the whole asked for, a batch as large as the bucket would need it full, which others never leave it.
    */
   private need(count: number, rank: Rank): number {
-    return Math.min(count, this.rate * BUDGET_DOWN, this.rate - this.floor(rank));
+    return Math.min(count, this.rate * RATE_DOWN_PAYMENT, this.rate - this.floor(rank));
   }
 
   tryTake(count: number, rank: Rank): boolean {
@@ -107,14 +112,14 @@
   /** When the first in some queue can have its tokens, or gives up: looking more often only costs time. */
   private nextLookMs(): number {
     this.refill();
-    let least = BUDGET_LOOK_MS;
+    let least = RATE_QUEUE_MAX_MS;
     for (const rank of RANKS) {
       const head = this.queues[rank][0];
       if (!head) continue;
       const missing = this.floor(rank) + this.need(head.count, rank) - this.level;
       least = Math.min(least, (missing / this.rate) * 1000, head.until - this.now());
     }
-    return Math.max(BUDGET_PUMP_MS, least);
+    return Math.max(RATE_QUEUE_MIN_MS, least);
   }
 
   private async pump(): Promise<void> {
--- a/src/store/mirror.test.ts
+++ b/src/store/watch-cache.test.ts
@@ -2,10 +2,10 @@
 import { mock, test } from 'node:test';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
-import { COPY_FRESH_MS } from '../constants.js';
+import { CACHE_FRESH_MS } from '../constants.js';
 import { StateStandIn } from '../testing/world.js';
 import { Store } from './client.js';
-import { Mirror } from './mirror.js';
+import { WatchCache } from './watch-cache.js';
 
 /** How fresh a node's copy of the shared keys is, by what the state service does. */
 const rows: readonly {
@@ -14,12 +14,12 @@
   ageAt60S: readonly [least: number, most: number];
 }[] = [
   // Where nothing changes watches end empty; the copy must count as fresh enough to answer from all the same.
-  { name: 'nothing changes for a minute', refusedFromS: 99, ageAt60S: [0, COPY_FRESH_MS] },
+  { name: 'nothing changes for a minute', refusedFromS: 99, ageAt60S: [0, CACHE_FRESH_MS] },
   // A watch that hangs says nothing: what happened since may be unknown here.
   { name: 'this node alone is refused from 20 s on', refusedFromS: 20, ageAt60S: [40_000, 50_000] },
 ];
 for (const row of rows) {
-  test(`mirror: ${row.name}`, async () => {
+  test(`cache: ${row.name}`, async () => {
     mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 1_000_000 });
     const state = new StateStandIn();
     const now = (): number => Date.now();
@@ -27,15 +27,15 @@
     const store = new Store({ host: 'state', port: 1 }, limits, now, () => ({
       request: (method, path, body) => state.handle('n0', method, path, body),
     }));
-    const mirror = new Mirror(store, now);
-    const fiber = Effect.runFork(mirror.run);
+    const cache = new WatchCache(store, now);
+    const fiber = Effect.runFork(cache.run);
     try {
       let oldest = 0;
       for (let ms = 0; ms < 60_000; ms += 20) {
         if (ms === row.refusedFromS * 1_000) state.refused.add('n0');
         mock.timers.tick(20);
         for (let k = 0; k < 4; k += 1) await new Promise((resolve) => setImmediate(resolve));
-        if (ms > 1_000) oldest = Math.max(oldest, now() - mirror.freshAt);
+        if (ms > 1_000) oldest = Math.max(oldest, now() - cache.freshAt);
       }
       assert.ok(oldest >= row.ageAt60S[0] && oldest <= row.ageAt60S[1], `${oldest} ms`);
     } finally {
--- a/src/store/mirror.ts
+++ b/src/store/watch-cache.ts
@@ -10,7 +10,7 @@
  * This node's copy of the shared keys, in the order of their changes: what it shows was true at `revision`,
  * and a later change is never shown before an earlier one. That order is what fencing relies on.
  */
-export class Mirror {
+export class WatchCache {
   /** By kind of key (`w/j/`, `w/m/`, …), so that a walk over one kind costs only that kind. */
   private readonly kinds = new Map<string, Map<string, Item>>();
   private readonly listeners: ((event: StoreEvent) => void)[] = [];
@@ -65,13 +65,13 @@
       const listedAt = this.now();
       const all = yield* this.store.list(SHARED, 'user');
       if (all._tag === 'failed') {
-        log.debug({ event: 'mirror.list_failed', why: all.why });
+        log.debug({ event: 'cache.list_failed', why: all.why });
         yield* Effect.sleep(STORE_RETRY_MS);
         continue;
       }
       this.reload(all.items, all.revision);
       this.freshAt = listedAt;
-      log.info({ event: 'mirror.loaded', items: all.items.length, revision: all.revision });
+      log.info({ event: 'cache.loaded', items: all.items.length, revision: all.revision });
       for (;;) {
         const askedAt = this.now();
         const result = yield* this.store.watch(SHARED, this.revision);
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -84,7 +84,7 @@
                 .then((answer) => (alive.yes ? answer : never))
             : never,
       }),
-      line: {
+      workerClient: {
         send: async (addr, token, session, commands) => {
           const calls = commands.map((command) => ({
             call: command._tag,
@@ -111,7 +111,7 @@
       answerOf(await controller.route(callOf(method, path, body))),
     );
     this.world.attach(`mesh-${name}`, async (method, path, body) =>
-      answerOf(await controller.mesh(callOf(method, path, body))),
+      answerOf(await controller.peerRoute(callOf(method, path, body))),
     );
   }
 
--- a/src/testing/production.ts
+++ b/src/testing/production.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { pathToFileURL } from 'node:url';
 import { buildSync } from 'esbuild';
-import type { compose } from '../service.js';
+import type { compose, Controller, Ports } from '../service.js';
 
 /** What the tests use of the version that production runs. */
 export interface Production {
@@ -14,6 +14,19 @@
   readonly keys: typeof import('../store/keys.js');
 }
 
+/** The composition root of that version, whose ports and routes have other names. */
+type EarlierCompose = (
+  settings: Parameters<typeof compose>[0],
+  ports: Omit<Ports, 'workerClient'> & { readonly line: Ports['workerClient'] },
+) => Omit<Controller, 'peerRoute'> & { readonly mesh: Controller['peerRoute'] };
+
+const adaptCompose =
+  (earlier: EarlierCompose): typeof compose =>
+  (settings, { workerClient, ...ports }) => {
+    const { mesh, ...controller } = earlier(settings, { ...ports, line: workerClient });
+    return { ...controller, peerRoute: mesh };
+  };
+
 /**
  * The sources of the version that `deploy/service.toml` names, built from the repository's history, so that tests meet
  * the earlier code itself.
@@ -48,7 +61,7 @@
       import(pathToFileURL(join(base, 'built', `${part}.js`)).href);
     const [service, codec, records, machines, keys] = await Promise.all(parts.map(load));
     return {
-      compose: (service as { compose: typeof compose }).compose,
+      compose: adaptCompose((service as { compose: EarlierCompose }).compose),
       codec: codec as Production['codec'],
       records: records as Production['records'],
       machines: machines as Production['machines'],
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -5,10 +5,15 @@
 import { planSteps } from '../fleet/plan.js';
 import type { Summary } from '../fleet/records.js';
 import type { Catalog, JobSpec } from '../jobs/model.js';
-import { asksOf, roomsOf, usesOf, type ViewInput } from '../placement/asks.js';
-import { Book } from '../placement/book.js';
-import { Custody } from '../placement/custody.js';
-import { needsOf, sparesOf } from '../placement/needs.js';
+import {
+  placementRequests,
+  availableCapacity,
+  teamUsage,
+  type ViewInput,
+} from '../placement/placement-view.js';
+import { ShareState } from '../placement/share-state.js';
+import { MachineLiveness } from '../placement/machine-liveness.js';
+import { unmetDemand, spareMachines } from '../placement/unmet-demand.js';
 import { packAll } from '../placement/pack.js';
 import { readRunRecord, runRecord, writeRunRecord } from '../placement/records.js';
 
@@ -58,19 +63,19 @@
 /** One share with its machines full but for one in twenty, and a job waiting for every eight machines. */
 const shareOf = (machines: number) => {
   const now = 1_000_000;
-  const book = new Book({ now: () => now, wall: () => now, poke: () => undefined });
-  const custody = new Custody({
-    machines: book.machines,
+  const shareState = new ShareState({ now: () => now, wall: () => now, poke: () => undefined });
+  const liveness = new MachineLiveness({
+    machines: shareState.machines,
     catalog: () => catalog,
     workers: { lease_s: 24, report_s: 5, cancel_s: 45 },
     now: () => now,
     wall: () => now,
   });
-  custody.loadedAt = 0;
+  liveness.loadedAt = 0;
   let jobs = 0;
   const add = (gang: boolean) => {
     jobs += 1;
-    return book.adoptJob(
+    return shareState.adoptJob(
       {
         spec: specOf(jobs, gang),
         at: now - 20_000,
@@ -95,7 +100,7 @@
       addr: 'a:1',
       session: 1,
     };
-    const machine = book.addMachine(
+    const machine = shareState.addMachine(
       `i-${m}`,
       record,
       1,
@@ -109,7 +114,7 @@
         job = add(false);
         next = 0;
       }
-      book.apply(book.bind(job, next, 1, machine, { _tag: 'bound' }), {
+      shareState.apply(shareState.bind(job, next, 1, machine, { _tag: 'bound' }), {
         _tag: 'reported',
         state: { _tag: 'running' },
       });
@@ -118,8 +123,8 @@
   }
   for (let k = 0; k < machines / 8; k += 1) add(k % 2 === 0);
   const view: ViewInput = {
-    book,
-    custody,
+    shareState,
+    liveness,
     catalog,
     scarce: () => true,
     guarantees: new Map(),
@@ -128,13 +133,13 @@
     now,
     wall: now,
   };
-  return { book, view };
+  return { shareState, view };
 };
 
 const round = (view: ViewInput) => {
-  const asks = asksOf(view);
-  const rooms = roomsOf(view);
-  const uses = usesOf(view.book);
+  const asks = placementRequests(view);
+  const rooms = availableCapacity(view);
+  const uses = teamUsage(view.shareState);
   const packed = packAll(
     asks,
     rooms.filter((room) => room.live),
@@ -155,26 +160,26 @@
   );
 
 const rows = [100, 1_000, 2_000].map((all) => {
-  const { book, view } = shareOf(all / SHARES);
+  const { shareState, view } = shareOf(all / SHARES);
   const needs = () => {
     const { packed, rooms, uses } = round(view);
-    return needsOf(packed.left, rooms, limits, uses, catalog, view.objectives, view.wall);
+    return unmetDemand(packed.left, rooms, limits, uses, catalog, view.objectives, view.wall);
   };
   const summaries = Array.from({ length: SHARES }, (_, share): Summary => ({
     share,
     claim: 1,
     revision: 1,
     needs: needs(),
-    spares: sparesOf(
-      [...book.machines.values()].filter((machine) => machine.bound.size === 0),
+    spares: spareMachines(
+      [...shareState.machines.values()].filter((machine) => machine.bound.size === 0),
       view.now,
     ),
   }));
-  const records = [...book.jobs.values()].map((job) => writeRunRecord(runRecord(job, 0), 0));
+  const records = [...shareState.jobs.values()].map((job) => writeRunRecord(runRecord(job, 0), 0));
   const roundMs = timed(() => round(view));
   return {
     machines: all,
-    'jobs of a share': book.jobs.size,
+    'jobs of a share': shareState.jobs.size,
     'round ms': roundMs.toFixed(2),
     'summary ms': (timed(needs) - roundMs).toFixed(2),
     'plan ms': timed(() =>
--- a/src/testing/world.ts
+++ b/src/testing/world.ts
@@ -403,7 +403,7 @@
   sever(name: string, others: readonly string[]): void {
     this.severed.set(name, { others, at: Date.now() });
   }
-  /** Without state service and siblings a node may command for as long as its claims surely last, no longer. */
+  /** Without state service and peers a node may command for as long as its claims surely last, no longer. */
   private checkSilence(node: string): void {
     const cut = this.severed.get(node);
     if (!cut?.others.includes('state') || Date.now() - cut.at < 6_000) return;
--- a/src/workers/react.test.ts
+++ b/src/workers/reconcile.test.ts
@@ -5,7 +5,7 @@
 import { bindingKey } from '../placement/state.js';
 import { nextPhase, type Phase } from '../placement/task.js';
 import type { Report, ReportedTask, TaskState } from './model.js';
-import { answer, readChanges } from './react.js';
+import { answer, readChanges } from './reconcile.js';
 import { readReport } from './codec.js';
 
 const bindingOf = (phase: Phase, over: Partial<Binding> = {}): Binding => ({
--- a/src/workers/react.ts
+++ b/src/workers/reconcile.ts
@@ -1,4 +1,4 @@
-import { FORGET_AFTER_MS, FORGET_TOGETHER, SETTLE_OVERRUN_MS } from '../constants.js';
+import { FORGET_AFTER_MS, FORGET_TOGETHER, STOP_GRACE_OVERRUN_MS } from '../constants.js';
 import { bindingKey, type Binding, type ShareMachine } from '../placement/state.js';
 import { nextPhase, type Gone } from '../placement/task.js';
 import type { Command, Report } from './model.js';
@@ -90,7 +90,7 @@
       continue;
     }
     if (!binding.stop) continue;
-    const overdue = now - binding.stop.since > binding.stop.graceS * 1000 + SETTLE_OVERRUN_MS;
+    const overdue = now - binding.stop.since > binding.stop.graceS * 1000 + STOP_GRACE_OVERRUN_MS;
     if (task.state._tag !== 'saving' || overdue || binding.stop.graceS === 0) {
       commands.push({ _tag: 'stop', ...name, graceS: overdue ? 0 : binding.stop.graceS });
     }
--- a/src/workers/desk.ts
+++ b/src/workers/report-handler.ts
@@ -1,15 +1,15 @@
 import { ANSWER_WAIT_MS } from '../constants.js';
 import type { Reply } from '../http.js';
 import { claimKey, machineKey } from '../store/keys.js';
-import type { Mirror } from '../store/mirror.js';
+import type { WatchCache } from '../store/watch-cache.js';
 import { readMachineRecord } from '../fleet/records.js';
 import { readReport, writeOrders } from './codec.js';
 import type { Command, Report } from './model.js';
 
 /** Where workers report: answers those of our shares, shows the others the way. */
-export interface DeskInput {
+export interface ReportHandlerInput {
   readonly me: string;
-  readonly mirror: Mirror;
+  readonly cache: WatchCache;
   readonly now: () => number;
   /** The share with this number, if this node may answer for it now. */
   readonly share: (slot: number) => {
@@ -25,9 +25,9 @@
   body: boss === undefined ? {} : { boss },
 });
 
-export class Desk {
+export class ReportHandler {
   private readonly strays = new Map<string, { share: number; at: number }>();
-  constructor(private readonly input: DeskInput) {}
+  constructor(private readonly input: ReportHandlerInput) {}
 
   /** Machines of other nodes' shares that reported here lately, by share: their holder can't hear them. */
   strayCounts(withinMs: number): Record<string, number> {
@@ -40,13 +40,13 @@
   }
 
   private holder(slot: string): string | undefined {
-    return (this.input.mirror.get(claimKey(slot))?.value as { n: string } | undefined)?.n;
+    return (this.input.cache.get(claimKey(slot))?.value as { n: string } | undefined)?.n;
   }
 
   async handle(value: unknown): Promise<Reply> {
     const report = readReport(value);
     if (!report) return { status: 400, body: { error: 'malformed report' } };
-    const item = this.input.mirror.get(machineKey(report.machine));
+    const item = this.input.cache.get(machineKey(report.machine));
     if (!item) {
       const boss = this.holder('L');
       if (this.input.adopt(report) || boss === this.input.me) return { status: 503 };
--- a/src/workers/line.ts
+++ b/src/workers/worker-client.ts
@@ -13,7 +13,7 @@
   | { readonly _tag: 'unsure' };
 
 /** Sends commands to the worker at an address. */
-export interface DirectLine {
+export interface DirectCommands {
   send(addr: string, token: number, session: number, commands: readonly Command[]): Promise<DirectResult>;
 }
 
@@ -22,7 +22,7 @@
  * command for a machine without a connection would wait behind idle ones of others until it is given up. So
  * the one that has been idle longest makes way, and a command beyond the bound is refused at once.
  */
-export class Line implements DirectLine {
+export class WorkerClient implements DirectCommands {
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
   private open = 0;
   constructor(private readonly sockets: number) {}
