--- /dev/null
+++ b/src/placement/binder.ts
@@ -0,0 +1,67 @@
+import type { Assignment } from './pack.js';
+import { chunkOf } from './records.js';
+import type { ShareState } from './share-state.js';
+import type { Binding, ShareJob } from './state.js';
+import type { WorkerSessions } from './worker-sessions.js';
+import type { RunWrite, Writer } from './writer.js';
+
+export interface BinderInput {
+  readonly shareState: ShareState;
+  readonly writer: Writer;
+  readonly sessions: WorkerSessions;
+  /** The share's claim is no longer held by this process. */
+  readonly lost: () => boolean;
+  /** Asks for another placement round. */
+  readonly poke: () => void;
+}
+
+/** Makes the assignments of a round durable and starts the tasks once they are. */
+export class Binder {
+  constructor(private readonly input: BinderInput) {}
+
+  bindAll(puts: readonly Assignment[]): Promise<unknown> {
+    const byJob = new Map<ShareJob, Binding[]>();
+    for (const put of puts) {
+      const job = this.input.shareState.jobs.get(put.job);
+      const machine = this.input.shareState.machines.get(put.machine);
+      if (!job || !machine) continue;
+      let list = byJob.get(job);
+      if (!list) {
+        job.attempt += 1;
+        byJob.set(job, (list = []));
+      }
+      list.push(this.input.shareState.bind(job, put.index, job.attempt, machine, { _tag: 'binding' }));
+    }
+    const commits: Promise<void>[] = [];
+    const arrays: { write: RunWrite; bindings: readonly Binding[] }[] = [];
+    for (const [job, bindings] of byJob) {
+      const chunks = [...new Set(bindings.map((binding) => chunkOf(binding.index)))];
+      const entries = chunks.map((chunk) => ({
+        write: this.input.writer.runWrite(job, chunk),
+        bindings: bindings.filter((binding) => chunkOf(binding.index) === chunk),
+      }));
+      // A gang's bind is one conditional write.
+      if (job.spec.kind === 'gang') commits.push(this.commitBinds(entries, job));
+      else arrays.push(...entries);
+    }
+    for (const batch of this.input.writer.batches(arrays)) commits.push(this.commitBinds(batch));
+    return Promise.all(commits);
+  }
+
+  private async commitBinds(
+    entries: readonly { write: RunWrite; bindings: readonly Binding[] }[],
+    gang: ShareJob | null = null,
+  ): Promise<void> {
+    const writes = entries.map((entry) => entry.write);
+    const committed = gang
+      ? await this.input.writer.commitGang(gang, writes, 'bind')
+      : await this.input.writer.commitRuns(writes, 'bind');
+    const bindings = entries.flatMap((entry) => entry.bindings);
+    for (const binding of bindings) {
+      if (committed) this.input.shareState.apply(binding, { _tag: 'durable' });
+      else this.input.shareState.unbind(binding);
+    }
+    if (committed && !this.input.lost()) this.input.sessions.sendRuns(bindings);
+    this.input.poke();
+  }
+}
--- /dev/null
+++ b/src/placement/machine-lifecycle.ts
@@ -0,0 +1,122 @@
+import { RETURN_ASK_MS, WATCH_MACHINES_MS } from '../constants.js';
+import type { Move } from '../fleet/records.js';
+import { log } from '../log.js';
+import type { Store } from '../store/client.js';
+import type { MachineLiveness } from './machine-liveness.js';
+import type { ShareState } from './share-state.js';
+import { bindingKey, type ShareMachine } from './state.js';
+import type { WorkerSessions } from './worker-sessions.js';
+import type { Writer } from './writer.js';
+
+export interface MachineLifecycleInput {
+  readonly slot: number;
+  readonly store: Store;
+  readonly shareState: ShareState;
+  readonly liveness: MachineLiveness;
+  readonly sessions: WorkerSessions;
+  readonly writer: Writer;
+  readonly now: () => number;
+  /** The share has been rebuilt, so it may place work and give machines away. */
+  readonly placing: () => boolean;
+  /** The share's claim is no longer held by this process. */
+  readonly lost: () => boolean;
+  /** Returns machines to the cloud at once, without a record of it; true: they are gone. */
+  readonly returnNow: (machines: readonly string[]) => Promise<boolean>;
+}
+
+/** What becomes of a share's machines: leases that run out, returns to the cloud, moves to other shares. */
+export class MachineLifecycle {
+  private watchedAt = 0;
+  private returnAskedAt = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly input: MachineLifecycleInput) {}
+
+  watch(): void {
+    const now = this.input.now();
+    if (now - this.watchedAt < WATCH_MACHINES_MS) return;
+    this.watchedAt = now;
+    for (const machine of this.input.liveness.watch()) {
+      log.info({ event: 'machine.lease_over', machine: machine.id, tasks: machine.bound.size });
+      for (const binding of [...machine.bound.values()])
+        this.input.shareState.apply(binding, { _tag: 'lost', how: { _tag: 'leaseOver' } });
+    }
+    const overdue = this.input.liveness.overdue(this.input.shareState.jobs.values());
+    this.returnNow(overdue.map((machine) => machine.id));
+    const release = [
+      ...overdue
+        .filter((machine) => !machine.releasing)
+        .map((machine) => ({ machine, why: 'cancelled and not gone' })),
+      ...this.input.liveness
+        .toRelease(this.input.placing())
+        .filter(({ machine }) => !overdue.includes(machine)),
+    ];
+    const raise = [...this.input.shareState.machines.values()].filter(
+      (machine) => machine.raiseToken && !machine.releasing,
+    );
+    for (const machine of raise) machine.raiseToken = false;
+    const records = [
+      ...raise.map((machine) => ({ machine, share: this.input.slot, releasing: false })),
+      ...release
+        .filter(({ machine }) => !raise.includes(machine))
+        .map(({ machine, why }) => {
+          log.info({ event: 'machine.release_wanted', machine: machine.id, why });
+          return { machine, share: this.input.slot, releasing: true };
+        }),
+    ];
+    while (records.length > 0)
+      void this.input.writer.assign(
+        records.splice(0, this.input.store.batchOps),
+        raise.length > 0 ? 'bind' : 'work',
+      );
+  }
+
+  /** While the state service can't be written, the leader is asked directly; twice is no harm, nor is too early. */
+  private returnNow(machines: readonly string[]): void {
+    const now = this.input.now();
+    if (machines.length === 0 || now - this.returnAskedAt < RETURN_ASK_MS) return;
+    this.returnAskedAt = now;
+    void this.input.returnNow(machines).then((returned) => {
+      if (this.input.lost() || !returned) return;
+      for (const id of machines) {
+        const machine = this.input.shareState.machines.get(id);
+        if (machine) machine.cordoned = true;
+        for (const binding of [...(machine?.bound.values() ?? [])])
+          this.input.shareState.apply(binding, { _tag: 'lost', how: { _tag: 'released' } });
+      }
+    });
+  }
+
+  /** Free for another share: nothing on it but exits that are settled, which any holder may have forgotten. */
+  movable(machine: ShareMachine): boolean {
+    return (
+      !machine.releasing &&
+      !machine.raiseToken &&
+      this.input.liveness.idle(machine) &&
+      machine.unsureRuns.size === 0 &&
+      machine.noticeAt === null &&
+      machine.health._tag === 'fine' &&
+      machine.reported.every((task) =>
+        this.input.sessions.settled(bindingKey(task.job, task.index, task.attempt), task.job, task.index),
+      )
+    );
+  }
+
+  /** Moves free machines to other shares. Their new assignment raises the token beyond all that we sent. */
+  async give(moves: readonly Move[]): Promise<boolean> {
+    if (!this.input.placing()) return false;
+    const records = moves.flatMap(({ machine: id, to }) => {
+      const machine = this.input.shareState.machines.get(id);
+      return machine && this.movable(machine) ? [{ machine, share: to, releasing: false }] : [];
+    });
+    if (records.length === 0) return false;
+    log.info({
+      event: 'machine.move',
+      from: this.input.slot,
+      moves: records.map(({ machine, share }) => `${machine.id}>${share}`),
+    });
+    const batches: Promise<boolean>[] = [];
+    while (records.length > 0)
+      batches.push(this.input.writer.assign(records.splice(0, this.input.store.batchOps), 'bind'));
+    return (await Promise.all(batches)).some(Boolean);
+  }
+}
--- /dev/null
+++ b/src/placement/preemptor.ts
@@ -0,0 +1,103 @@
+import { PREEMPT_AFTER_MS, PREEMPT_INTERVAL_MS, PREEMPT_REQUESTS_MAX } from '../constants.js';
+import type { JobSpec } from '../jobs/model.js';
+import { log } from '../log.js';
+import type { AvailableCapacity } from './pack.js';
+import { chooseVictims, type OccupiedMachine } from './preemption.js';
+import type { ShareState } from './share-state.js';
+import type { Binding, ShareJob } from './state.js';
+import type { UnplacedRequest } from './unmet-demand.js';
+
+export interface PreemptorInput {
+  readonly slot: number;
+  readonly shareState: ShareState;
+  readonly now: () => number;
+  /** ms since the epoch. */
+  readonly wall: () => number;
+  /** Has another share a free machine that would do for this job? */
+  readonly spareElsewhere: (slot: number, spec: JobSpec) => boolean;
+}
+
+/** Stops groups of lower priority for jobs that find no room, at a bounded pace. */
+export class Preemptor {
+  private lastSearchAt = 0;
+
+  constructor(private readonly input: PreemptorInput) {}
+
+  /**
+   * Whole groups of lower priority go when nothing else helps: no room here, no free machine in another share
+   * that would do, and nothing already on its way out. One job a round, and only if it can start for it.
+   */
+  run(left: readonly UnplacedRequest[], rooms: readonly AvailableCapacity[]): void {
+    const now = this.input.now();
+    if (now - this.lastSearchAt < PREEMPT_INTERVAL_MS) return;
+    const candidates = left
+      .filter(({ ask }) => ask.spec.priority > 0 && this.input.wall() - ask.at >= PREEMPT_AFTER_MS)
+      .slice(0, PREEMPT_REQUESTS_MAX);
+    if (candidates.length === 0) return;
+    for (const machine of this.input.shareState.machines.values()) {
+      for (const binding of machine.bound.values()) if (binding.stop?.reason === 'evicted') return;
+    }
+    this.lastSearchAt = now;
+    const occupied = this.occupied(rooms);
+    for (const { ask, count } of candidates) {
+      if (this.input.spareElsewhere(this.input.slot, ask.spec)) continue;
+      const victims = chooseVictims(
+        ask.spec,
+        count,
+        ask.failedOn.size === 0 ? occupied : occupied.filter((machine) => !ask.failedOn.has(machine.id)),
+      );
+      if (victims.length === 0) continue;
+      for (const victim of victims) {
+        const job = this.input.shareState.jobs.get(victim.job);
+        if (!job) continue;
+        log.info({ event: 'group.evicted', job: victim.job, machine: victim.machine, for: ask.job });
+        for (const binding of job.bindings.values()) {
+          if (job.spec.kind === 'gang' || binding.machine === victim.machine)
+            this.input.shareState.stop(binding, 'evicted', this.input.shareState.graceOf(job));
+        }
+      }
+      return;
+    }
+  }
+
+  private occupied(rooms: readonly AvailableCapacity[]): readonly OccupiedMachine[] {
+    const now = this.input.now();
+    const occupied: OccupiedMachine[] = [];
+    for (const room of rooms) {
+      const machine = this.input.shareState.machines.get(room.id);
+      if (!machine || !room.live) continue;
+      const groups = new Map<string, { binding: Binding; job: ShareJob; tasks: number }>();
+      for (const binding of machine.bound.values()) {
+        const job = this.input.shareState.jobs.get(binding.job);
+        if (!job || binding.stop) continue;
+        const known = groups.get(binding.job);
+        groups.set(binding.job, { binding, job, tasks: (known?.tasks ?? 0) + 1 });
+      }
+      occupied.push({
+        id: room.id,
+        type: room.type,
+        zone: room.zone,
+        spot: room.spot,
+        free: room.free,
+        groups: [...groups.values()]
+          // What ends before it could be stopped is not worth stopping.
+          .filter(({ binding, job }) => {
+            const leftS = job.spec.estimateS - (now - (binding.runningAt ?? now)) / 1000;
+            return leftS > this.input.shareState.graceOf(job) || leftS < -job.spec.estimateS;
+          })
+          .map(({ job, tasks }) => ({
+            job: job.spec.id,
+            priority: job.spec.priority,
+            gang: job.spec.kind === 'gang',
+            tasks,
+            demand: {
+              cpus: job.spec.cpus * tasks,
+              gpus: job.spec.gpus * tasks,
+              memoryGb: job.spec.memoryGb * tasks,
+            },
+          })),
+      });
+    }
+    return occupied;
+  }
+}
--- /dev/null
+++ b/src/placement/record-flusher.ts
@@ -0,0 +1,99 @@
+import { FLUSH_AGE_MS, FLUSH_AT_ONCE, FLUSH_MS } from '../constants.js';
+import type { FinalRecord, FinalState } from '../jobs/model.js';
+import type { Store } from '../store/client.js';
+import type { ShareState } from './share-state.js';
+import { isFinished, type ShareJob } from './state.js';
+import type { RunWrite, Writer } from './writer.js';
+
+export interface RecordFlusherInput {
+  readonly store: Store;
+  readonly shareState: ShareState;
+  readonly writer: Writer;
+  readonly now: () => number;
+  /** The share's claim is no longer held by this process. */
+  readonly lost: () => boolean;
+  /** Asks for another placement round. */
+  readonly poke: () => void;
+  /** A job's final record is durable. */
+  readonly settled: (job: string, final: FinalRecord) => void;
+}
+
+/** Writes what changed in a share to the state service, in batches: finished tasks, final records, left-over keys. */
+export class RecordFlusher {
+  private flushing = false;
+  private flushedAt = 0;
+  /** Keys of runs whose jobs are over. */
+  private readonly orphans: string[] = [];
+
+  constructor(private readonly input: RecordFlusherInput) {}
+
+  /** Has these left-over keys deleted some time. */
+  discard(keys: readonly string[]): void {
+    this.orphans.push(...keys);
+  }
+
+  /** Finished tasks, and bindings that are gone. Jobs that are all done go straight to their final record. */
+  flush(): void {
+    const now = this.input.now();
+    if (this.flushing || now - this.flushedAt < FLUSH_MS || this.input.lost()) return;
+    const { changes } = this.input.store;
+    const ageMs = changes.demand() < changes.perSecond * FLUSH_AT_ONCE ? 0 : FLUSH_AGE_MS;
+    const entries: { write: RunWrite }[] = [];
+    for (const job of this.input.shareState.jobs.values()) {
+      if (job.finishing || job.writing > 0) continue;
+      if (job.bindings.size === 0 && (job.cancelled || isFinished(job))) continue;
+      for (const [number, chunk] of job.chunks) {
+        if (chunk.dirtyFrom !== null && now - chunk.dirtyFrom >= ageMs)
+          entries.push({ write: this.input.writer.runWrite(job, number) });
+      }
+    }
+    if (entries.length === 0 && this.orphans.length === 0) return;
+    this.flushing = true;
+    this.flushedAt = now;
+    const work = async (): Promise<void> => {
+      // One at a time: what changes meanwhile shares the next.
+      for (const batch of this.input.writer.batches(entries).slice(0, 1))
+        await this.input.writer.commitRuns(
+          batch.map((entry) => entry.write),
+          'work',
+        );
+      if (this.orphans.length > 0) {
+        const keys = this.orphans.splice(0, this.input.store.batchOps);
+        if (!(await this.input.writer.clear(keys))) this.orphans.push(...keys);
+      }
+    };
+    void work().finally(() => {
+      this.flushing = false;
+      this.input.poke();
+    });
+  }
+
+  finishJobs(): void {
+    let batch: { job: ShareJob; state: FinalState }[] = [];
+    let size = 0;
+    const send = (): void => {
+      const sent = batch;
+      batch = [];
+      size = 0;
+      if (sent.length === 0) return;
+      void this.input.writer.finish(sent).then(({ done, orphans }) => {
+        for (const { job, final } of done) {
+          this.input.shareState.jobs.delete(job.spec.id);
+          this.input.settled(job.spec.id, final);
+        }
+        this.orphans.push(...orphans);
+        this.input.poke();
+      });
+    };
+    for (const job of this.input.shareState.jobs.values()) {
+      if (job.finishing || job.writing > 0 || job.bindings.size > 0) continue;
+      if (!job.cancelled && !isFinished(job)) continue;
+      const more = this.input.writer.finalSize(job);
+      if (job.finishAlone || size + more > this.input.store.batchOps) send();
+      batch.push({ job, state: job.cancelled ? 'cancelled' : 'done' });
+      size += more;
+      if (job.finishAlone) send();
+    }
+    send();
+  }
+}
--- /dev/null
+++ b/src/placement/run-loader.ts
@@ -0,0 +1,71 @@
+import type { Item } from '../store/client.js';
+import { parseRunKey, runKey, runPartKey } from '../store/keys.js';
+import { counts, durableKeys, partsOf, readRunRecord, validAttempt } from './records.js';
+import type { ShareState } from './share-state.js';
+
+export interface RunLoaderInput {
+  readonly slot: number;
+  readonly shareState: ShareState;
+}
+
+/** Rebuilds a share's bindings from the run records that the state service holds, at a takeover. */
+export class RunLoader {
+  /** Keys that belong to no job any more. */
+  private readonly orphans: string[] = [];
+
+  constructor(private readonly input: RunLoaderInput) {}
+
+  /** Takes in all runs of the share; returns the keys that are left over. */
+  loadAll(items: readonly Item[]): readonly string[] {
+    const byKey = new Map(items.map((item) => [item.key, item]));
+    for (const item of items) this.load(item, byKey);
+    return this.orphans;
+  }
+
+  private load(item: Item, items: ReadonlyMap<string, Item>): void {
+    const name = parseRunKey(item.key);
+    const job = name ? this.input.shareState.jobs.get(name.job) : undefined;
+    if (!name || !job) {
+      this.orphans.push(item.key);
+      return;
+    }
+    // Parts are read with the record that they belong to; one that it doesn't name is left over.
+    if (name.part !== null) {
+      const whole = items.get(runKey(this.input.slot, name.job, name.chunk));
+      if (!whole || name.part >= partsOf(whole.value)) this.orphans.push(item.key);
+      return;
+    }
+    const count = partsOf(item.value);
+    const parts = Array.from(
+      { length: count },
+      (_, part) => items.get(runPartKey(this.input.slot, name.job, name.chunk, part))?.value ?? { b: [] },
+    );
+    const record = readRunRecord(item.value, name.chunk, parts);
+    job.attempt = Math.max(job.attempt, record.attempt);
+    for (const index of record.done) job.done.add(index);
+    const first = items.get(runKey(this.input.slot, name.job, 0))?.value;
+    if (name.chunk === 0) job.validAttempt = validAttempt(first);
+    // Prepared for a bind that never was: it counts for nothing, and is cleared.
+    const valid = counts(item.value, first);
+    const chunk = {
+      version: item.version,
+      parts: count,
+      durable: valid ? durableKeys(job.spec.id, record) : new Set<string>(),
+      dirtyFrom: null as number | null,
+    };
+    job.chunks.set(name.chunk, chunk);
+    if (!valid) chunk.dirtyFrom = 0;
+    for (const bound of valid ? record.bindings : []) {
+      const machine = this.input.shareState.machines.get(bound.machine);
+      // No record of the machine: it was released, and that was answered 200.
+      if (!machine) {
+        chunk.dirtyFrom = 0;
+        continue;
+      }
+      const binding = this.input.shareState.bind(job, bound.index, bound.attempt, machine, { _tag: 'bound' });
+      if (job.cancelled) this.input.shareState.stop(binding, 'cancelled', 0);
+    }
+    if (job.spec.kind === 'gang' && job.bindings.size > 0 && job.bindings.size < job.spec.tasks)
+      this.input.shareState.breakGang(job);
+  }
+}
--- /dev/null
+++ b/src/placement/share-summary.ts
@@ -0,0 +1,72 @@
+import { PLAN_MS } from '../constants.js';
+import type { Summary } from '../fleet/records.js';
+import type { Catalog } from '../jobs/model.js';
+import type { WatchCache } from '../store/watch-cache.js';
+import type { AvailableCapacity, Limit, Usage } from './pack.js';
+import type { ShareState } from './share-state.js';
+import type { ShareMachine } from './state.js';
+import { spareMachines, unmetDemand, type UnplacedRequest } from './unmet-demand.js';
+import type { Objectives } from './urgency.js';
+
+export interface ShareSummaryInput {
+  readonly slot: number;
+  readonly claim: number;
+  readonly shareState: ShareState;
+  readonly cache: Pick<WatchCache, 'revision'>;
+  readonly limits: ReadonlyMap<string, Limit>;
+  readonly objectives: ReadonlyMap<string, Objectives>;
+  readonly now: () => number;
+  /** ms since the epoch. */
+  readonly wall: () => number;
+  /** Is the machine free to go to another share? */
+  readonly movable: (machine: ShareMachine) => boolean;
+  /** Something changed that the leader waits for. */
+  readonly changed: () => void;
+}
+
+/** What the leader is told of a share: its unmet demand and its spare machines. */
+export class ShareSummary {
+  latest: Summary | null = null;
+  private plannedAt = 0;
+  private lastSaid = '';
+
+  constructor(private readonly input: ShareSummaryInput) {}
+
+  /** What the leader should know. */
+  update(
+    left: readonly UnplacedRequest[],
+    rooms: readonly AvailableCapacity[],
+    uses: Map<string, Usage>,
+    catalog: Catalog,
+  ): void {
+    const now = this.input.now();
+    if (now - this.plannedAt < PLAN_MS) return;
+    this.plannedAt = now;
+    const needs = unmetDemand(
+      left,
+      rooms,
+      this.input.limits,
+      uses,
+      catalog,
+      this.input.objectives,
+      this.input.wall(),
+    );
+    const free = [...this.input.shareState.machines.values()].filter(
+      (machine) => machine.bound.size === 0 && this.input.movable(machine),
+    );
+    this.latest = {
+      share: this.input.slot,
+      claim: this.input.claim,
+      revision: this.input.cache.revision,
+      needs,
+      spares: spareMachines(free, now),
+    };
+    // The leader hears at once of what is new; what merely goes on waiting comes with the next heartbeat.
+    const said = [
+      ...needs.map((need) => `${need.tasks}:${need.gangs.map((gang) => gang.job).join()}`),
+      needs.length > 0 ? this.latest.spares.length : '',
+    ].join('|');
+    if (said !== this.lastSaid) this.input.changed();
+    this.lastSaid = said;
+  }
+}
