A finished job that a late event brings back is forgotten again

The deletion of the record, which only happens with the final record, now removes it. The table fails in three rows without that.

--- /dev/null
+++ b/src/placement/record-flusher.test.ts
@@ -0,0 +1,146 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Answer } from '../http.js';
+import type { JobRecord, JobSpec } from '../jobs/model.js';
+import { Store } from '../store/client.js';
+import { RecordFlusher } from './record-flusher.js';
+import { ShareState } from './share-state.js';
+import { Writer } from './writer.js';
+
+/** Final records: each is written once, whatever order the answers and the watch's events come in. */
+const spec: JobSpec = {
+  id: 'job-1',
+  klass: 'c',
+  team: 't',
+  kind: 'array',
+  priority: 1,
+  tasks: 2,
+  cpus: 1,
+  gpus: 1,
+  memoryGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  image: 'i',
+  imageGb: 1,
+  estimateS: 1,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+const ACCEPTED_AT = 5;
+const CANCELLED_AT = 7;
+const record: JobRecord = { spec, at: 0, cancelled: false, cancelledAt: null, follows: [], parts: 0 };
+const cancelledRecord: JobRecord = { ...record, cancelled: true, cancelledAt: 1 };
+
+/** A share with one job, and a state service whose record of it has this revision; 0: it is gone. */
+const shareOf = () => {
+  const state = { revision: CANCELLED_AT, transactions: 0 };
+  const request = (): Promise<Answer> => {
+    state.transactions += 1;
+    if (state.revision === 0)
+      return Promise.resolve({ _tag: 'answer', status: 409, body: { failed: ['w/j/job-1', 'f/job-1'] } });
+    state.revision = 0;
+    return Promise.resolve({ _tag: 'answer', status: 200, body: { epoch: 9 } });
+  };
+  const store = new Store(
+    { host: 'h', port: 1 },
+    { rps: 1e6, write_rps: 1e6, txn_ops: 10, nodes: 1 },
+    () => 0,
+    () => ({ request }),
+  );
+  const settled: string[] = [];
+  const shareState = new ShareState({ now: () => 0, wall: () => 0, poke: () => undefined });
+  const writer = new Writer({
+    store,
+    slot: 0,
+    claim: 1,
+    wall: () => 0,
+    valueBytes: 2048,
+    maySplit: () => true,
+    lost: () => undefined,
+    isLost: () => false,
+  });
+  const flusher = new RecordFlusher({
+    store,
+    shareState,
+    writer,
+    now: () => 0,
+    lost: () => false,
+    poke: () => undefined,
+    settled: (job) => settled.push(job),
+  });
+  shareState.adoptJob(record, ACCEPTED_AT);
+  const round = async (): Promise<void> => {
+    flusher.finishJobs();
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  };
+  return { state, shareState, settled, round };
+};
+
+type Step = 'acknowledge' | 'round' | 'round, not awaited' | 'cancelled record seen' | 'deletion seen';
+const rows: readonly { name: string; steps: readonly Step[]; transactions: number }[] = [
+  {
+    name: 'the watch shows the cancellation, then the deletion',
+    steps: ['cancelled record seen', 'round', 'deletion seen', 'round'],
+    transactions: 1,
+  },
+  // The late event brought the job back for ever: every round tried its final record again, some eight changes a second.
+  {
+    name: 'told directly and finished before the watch shows the cancellation',
+    steps: ['acknowledge', 'round', 'cancelled record seen', 'deletion seen', 'round', 'round'],
+    transactions: 1,
+  },
+  {
+    name: 'the same, with a round between the two events',
+    steps: ['acknowledge', 'round', 'cancelled record seen', 'round', 'deletion seen', 'round', 'round'],
+    transactions: 2,
+  },
+  {
+    name: 'the same, with a transaction under way as the deletion is seen',
+    steps: [
+      'acknowledge',
+      'round',
+      'cancelled record seen',
+      'round, not awaited',
+      'deletion seen',
+      'round',
+      'round',
+    ],
+    transactions: 2,
+  },
+  {
+    name: 'the deletion is seen before the answer to the write',
+    steps: ['acknowledge', 'round, not awaited', 'deletion seen', 'round'],
+    transactions: 1,
+  },
+];
+for (const row of rows) {
+  test(`final records: ${row.name}`, async () => {
+    const share = shareOf();
+    for (const step of row.steps) {
+      switch (step) {
+        case 'acknowledge':
+          share.shareState.acknowledge('job-1', CANCELLED_AT);
+          break;
+        case 'round':
+          await share.round();
+          break;
+        case 'round, not awaited':
+          void share.round();
+          break;
+        case 'cancelled record seen':
+          share.shareState.adoptJob(cancelledRecord, CANCELLED_AT);
+          break;
+        case 'deletion seen':
+          share.shareState.onRecordGone('job-1');
+          break;
+      }
+    }
+    assert.deepEqual([...share.shareState.jobs.keys()], [], 'nothing is left to be tried again');
+    assert.equal(share.state.transactions, row.transactions);
+    assert.deepEqual(share.settled, ['job-1']);
+  });
+}
--- a/src/placement/record-flusher.ts
+++ b/src/placement/record-flusher.ts
@@ -68,6 +68,7 @@
     });
   }
 
+  /** Writes the final records of jobs that are over and have no task left. */
   finishJobs(): void {
     let batch: { job: ShareJob; state: FinalState }[] = [];
     let size = 0;
@@ -81,6 +82,7 @@
           this.input.shareState.jobs.delete(job.spec.id);
           this.input.settled(job.spec.id, final);
         }
+        for (const { job } of sent) this.input.shareState.dropIfOver(job);
         this.orphans.push(...orphans);
         this.input.poke();
       });
--- a/src/placement/share-state.ts
+++ b/src/placement/share-state.ts
@@ -108,6 +108,7 @@
         backoffUntil: 0,
         proven: false,
         finishing: false,
+        recordGone: false,
         finishAlone: false,
         writing: 0,
       };
@@ -125,6 +126,26 @@
     return job;
   }
 
+  /** A job's record was deleted: its final record is durable. */
+  onRecordGone(id: string): void {
+    this.acknowledged.delete(id);
+    const job = this.jobs.get(id);
+    if (!job) return;
+    job.recordGone = true;
+    this.dropIfOver(job);
+    if (job.bindings.size > 0) log.error({ event: 'job.record_vanished', job: id });
+  }
+
+  /**
+   * Forgets a job whose record is gone. A holder that is told of a cancellation directly may finish the job before its
+   * watch shows the cancelled record; that older event then brings the job back, and its final record could never be
+   * written again.
+   */
+  dropIfOver(job: ShareJob): void {
+    if (!job.recordGone || job.finishing || job.bindings.size > 0) return;
+    if (this.jobs.get(job.spec.id) === job) this.jobs.delete(job.spec.id);
+  }
+
   private cancel(job: ShareJob, at: number | null): void {
     job.cancelledAt ??= at ?? this.input.wall();
     if (job.cancelled) return;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -236,9 +236,7 @@
   }
 
   onJobGone(id: string): void {
-    this.shareState.acknowledged.delete(id);
-    const job = this.shareState.jobs.get(id);
-    if (job && !job.finishing) log.error({ event: 'job.record_vanished', job: id });
+    this.shareState.onRecordGone(id);
   }
 
   // ---- takeover ------------------------------------------------------------------------------------------
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -69,6 +69,8 @@
   /** The job ran somewhere without failing at once. */
   proven: boolean;
   finishing: boolean;
+  /** Its record is deleted, which happens only together with the write of its final record. */
+  recordGone: boolean;
   /** Its final record failed in company: it is written alone, or it would hold up the others for ever. */
   finishAlone: boolean;
   /** Transactions under way that write its runs; nothing else may write them meanwhile. */
