--- a/src/claims/decide.ts
+++ b/src/claims/decide.ts
@@ -1,4 +1,10 @@
-import { CLAIM_GRACE_MS, HANDBACK_STABLE_MS } from '../constants.js';
+import {
+  CLAIM_GRACE_MS,
+  CLAIM_HELD_PAUSE_MS,
+  CLAIM_RANK_PAUSE_MS,
+  HANDBACK_STABLE_MS,
+  LEADER_RANK_PAUSE_MS,
+} from '../constants.js';
 
 /** Which claims to take or hand back. Plain data in, plain data out. */
 export const LEADER = 'L';
@@ -42,54 +48,59 @@
 const preferred = (view: ClaimsView, slot: string): string | undefined =>
   slot === LEADER ? undefined : view.nodes[Number(slot) % view.nodes.length];
 
-export const decideClaims = (view: ClaimsView): readonly ClaimAction[] => {
-  const actions: ClaimAction[] = [];
-  const held = (node: string): number =>
-    [...view.claims].filter(([slot, claim]) => slot !== LEADER && claim.node === node).length;
-  const mine = (claim: SeenClaim): boolean =>
-    claim.node === view.me.node && claim.incarnation === view.me.incarnation;
+/** How many shares the node holds, the leadership aside. */
+const heldBy = (view: ClaimsView, node: string): number =>
+  [...view.claims].filter(([slot, claim]) => slot !== LEADER && claim.node === node).length;
+
+const isMine = (view: ClaimsView, claim: SeenClaim): boolean =>
+  claim.node === view.me.node && claim.incarnation === view.me.incarnation;
+
+/** ms that this node leaves a free claim to others. */
+const patienceMs = (view: ClaimsView, slot: string): number => {
   const rank = Math.max(0, view.nodes.indexOf(view.me.node));
+  if (slot === LEADER) return rank * LEADER_RANK_PAUSE_MS;
+  if (preferred(view, slot) === view.me.node) return 0;
+  return CLAIM_GRACE_MS + heldBy(view, view.me.node) * CLAIM_HELD_PAUSE_MS + rank * CLAIM_RANK_PAUSE_MS;
+};
 
-  for (const slot of view.slots) {
+/** Free claims, and those of an earlier process of this node: a node runs one process, so that one is dead. */
+const claimsToTake = (view: ClaimsView): readonly ClaimAction[] =>
+  view.slots.flatMap((slot): readonly ClaimAction[] => {
     const claim = view.claims.get(slot);
-    if (claim && mine(claim)) continue;
     if (claim) {
-      // An earlier process of this node held it: one process a node, so that one is dead.
-      if (claim.node === view.me.node) actions.push({ _tag: 'take', slot, version: claim.version });
-      continue;
+      const predecessor = claim.node === view.me.node && !isMine(view, claim);
+      return predecessor ? [{ _tag: 'take', slot, version: claim.version }] : [];
     }
     const waited = view.now - (view.freeSince.get(slot) ?? view.now);
-    const patience =
-      slot === LEADER
-        ? rank * 250
-        : preferred(view, slot) === view.me.node
-          ? 0
-          : CLAIM_GRACE_MS + held(view.me.node) * 500 + rank * 150;
-    if (waited >= patience) actions.push({ _tag: 'take', slot, version: 0 });
-  }
+    return waited >= patienceMs(view, slot) ? [{ _tag: 'take', slot, version: 0 }] : [];
+  });
 
-  for (const [slot, node] of view.unheard) {
+/** Shares of ours whose workers reach only another node go there. */
+const claimsUnheard = (view: ClaimsView): readonly ClaimAction[] =>
+  [...view.unheard].flatMap(([slot, node]): readonly ClaimAction[] => {
     const claim = view.claims.get(slot);
-    const to = view.peers.find((sibling) => sibling.node === node);
-    if (claim && mine(claim) && to?.stateOk && to.lease !== null && to.steadyMs >= 0) {
-      actions.push({ _tag: 'hand', slot, version: claim.version, to });
-    }
-  }
-  if (view.unheard.size > 0) return actions;
+    const to = view.peers.find((peer) => peer.node === node);
+    const able = to?.stateOk && to.lease !== null && to.steadyMs >= 0;
+    return claim && isMine(view, claim) && able ? [{ _tag: 'hand', slot, version: claim.version, to }] : [];
+  });
 
-  // Teams stay divided among controllers: a node with several shares hands one to its steady, empty owner.
-  if (held(view.me.node) > 1) {
-    for (const slot of view.slots) {
-      const claim = view.claims.get(slot);
-      const owner = preferred(view, slot);
-      if (!claim || !mine(claim) || owner === undefined || owner === view.me.node || held(owner) > 0)
-        continue;
-      const to = view.peers.find((sibling) => sibling.node === owner);
-      if (to && !to.deaf && to.stateOk && to.lease !== null && to.steadyMs >= HANDBACK_STABLE_MS) {
-        actions.push({ _tag: 'hand', slot, version: claim.version, to });
-        break;
-      }
-    }
+/** Teams stay divided among controllers: a node with several shares hands one to its steady, empty preferred node. */
+const claimToHandBack = (view: ClaimsView): readonly ClaimAction[] => {
+  if (heldBy(view, view.me.node) <= 1) return [];
+  for (const slot of view.slots) {
+    const claim = view.claims.get(slot);
+    const owner = preferred(view, slot);
+    if (!claim || !isMine(view, claim) || owner === undefined || owner === view.me.node) continue;
+    if (heldBy(view, owner) > 0) continue;
+    const to = view.peers.find((peer) => peer.node === owner);
+    if (to && !to.deaf && to.stateOk && to.lease !== null && to.steadyMs >= HANDBACK_STABLE_MS)
+      return [{ _tag: 'hand', slot, version: claim.version, to }];
   }
-  return actions;
+  return [];
 };
+
+export const decideClaims = (view: ClaimsView): readonly ClaimAction[] => [
+  ...claimsToTake(view),
+  ...claimsUnheard(view),
+  ...(view.unheard.size > 0 ? [] : claimToHandBack(view)),
+];
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -14,6 +14,12 @@
 export const CLAIM_MARGIN_MS = 300;
 /** ms: how long another node leaves a free claim to the node that it is meant for. */
 export const CLAIM_GRACE_MS = 1_500;
+/** ms, for each node before this one by name, and for each share that it holds already: what it waits longer for a free
+ *  claim, so that nodes do not all write at once and the one with the least to do takes it. A write takes some 10 ms. */
+export const CLAIM_RANK_PAUSE_MS = 150;
+export const CLAIM_HELD_PAUSE_MS = 500;
+/** ms, for each node before this one by name: the same for the leadership, where nobody is preferred. */
+export const LEADER_RANK_PAUSE_MS = 250;
 /** ms: between looks at the claims. */
 export const CLAIM_TICK_MS = 300;
 /** ms: a peer must have answered steadily this long before a second share is handed back to it. */
@@ -306,3 +312,6 @@
 export const CACHE_FRESH_MS = 10_000;
 /** Fraction of the value size that a record's estimated size may take: escapes and longer names have their room. */
 export const VALUE_FILL = 0.85;
+/** ms: a part of the service that failed by a defect is started again after this, so that one that fails at once does not
+ *  take the processor. */
+export const SUPERVISE_RESTART_MS = 500;
--- a/src/fleet/leader.test.ts
+++ b/src/fleet/leader.test.ts
@@ -5,7 +5,7 @@
 import type { Callers } from '../http.js';
 import { Store } from '../store/client.js';
 import { WatchCache } from '../store/watch-cache.js';
-import { StateStandIn } from '../testing/world.js';
+import { StateStandIn } from '../testing/state-stand-in.js';
 import { Cloud } from './cloud.js';
 import { Leader } from './leader.js';
 import { writeMachineRecord } from './records.js';
--- a/src/main.ts
+++ b/src/main.ts
@@ -17,7 +17,7 @@
       process.stderr.write(`${checked.message}\n`);
       process.exit(2);
     }
-    const { start } = await import('./service.js');
+    const { start } = await import('./start.js');
     await start(checked.settings);
     return;
   }
--- a/src/meetings.test.ts
+++ b/src/meetings.test.ts
@@ -3,7 +3,7 @@
 import { NODES } from './testing/cluster.js';
 import { playDay, type Day, type Play } from './testing/day.js';
 import { TROUBLES } from './testing/troubles.js';
-import { Luck } from './testing/world.js';
+import { Luck } from './testing/luck.js';
 
 /** A trouble from the list, beginning at this second, drawn from a seed of its own. */
 const at = (start: number, name: keyof typeof TROUBLES, seed: number): Day['troubles'] =>
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -69,6 +69,90 @@
   return { machine, victims, fits: howMany(spec, free, spec.tasks) };
 };
 
+/** Lower goes first: the highest priority that a plan costs, then the number of its groups, then their size. */
+const costOf = (plan: Plan): readonly number[] => [
+  Math.max(-1, ...plan.victims.map((victim) => victim.priority)),
+  plan.victims.length,
+  plan.victims.reduce((sum, victim) => sum + size(victim), 0),
+];
+
+const isLess = (a: readonly number[], b: readonly number[]): boolean => {
+  for (const [k, value] of a.entries()) {
+    const other = b[k] ?? 0;
+    if (value !== other) return value < other;
+  }
+  return false;
+};
+
+/** Evictions on machines that a job may use together, with what they cost; null: they lead to no start. */
+interface Choice {
+  readonly evictions: readonly Eviction[];
+  readonly rank: readonly number[];
+}
+
+/** Plans of machines stay as they are until a group with tasks on them goes for another's sake. */
+class PlanCache {
+  private readonly plans = new Map<
+    OccupiedMachine,
+    { readonly plan: Plan; readonly cost: readonly number[] } | null
+  >();
+  constructor(
+    private readonly spec: JobSpec,
+    private readonly gone: ReadonlySet<string>,
+  ) {}
+
+  private of(machine: OccupiedMachine): { readonly plan: Plan; readonly cost: readonly number[] } | null {
+    let known = this.plans.get(machine);
+    if (known === undefined) {
+      const plan = clear(this.spec, machine, this.gone);
+      this.plans.set(machine, (known = plan ? { plan, cost: costOf(plan) } : null));
+    }
+    return known;
+  }
+
+  cheapest(machines: readonly OccupiedMachine[]): Plan | null {
+    let best: { readonly plan: Plan; readonly cost: readonly number[] } | null = null;
+    for (const machine of machines) {
+      const known = this.of(machine);
+      if (known && (!best || isLess(known.cost, best.cost))) best = known;
+    }
+    return best?.plan ?? null;
+  }
+
+  /** A gang is preempted whole, so it leaves the other machines as well. */
+  forgetGang(job: string, machines: readonly OccupiedMachine[]): void {
+    for (const machine of machines)
+      if (machine.groups.some((group) => group.job === job)) this.plans.delete(machine);
+  }
+}
+
+const chooseAmong = (spec: JobSpec, count: number, machines: readonly OccupiedMachine[]): Choice | null => {
+  const gone = new Set<string>();
+  const plans = new PlanCache(spec, gone);
+  const left = [...machines];
+  const evictions: Eviction[] = [];
+  let missing = count;
+  let sizes = 0;
+  let worst = 0;
+  while (missing > 0) {
+    const pick = plans.cheapest(left);
+    if (!pick) break;
+    left.splice(left.indexOf(pick.machine), 1);
+    for (const victim of pick.victims) {
+      const key = keyOf(pick.machine.id, victim);
+      if (gone.has(key)) continue;
+      gone.add(key);
+      if (victim.gang) plans.forgetGang(victim.job, left);
+      evictions.push({ machine: pick.machine.id, job: victim.job });
+      sizes += size(victim);
+      worst = Math.max(worst, victim.priority);
+    }
+    missing -= pick.fits;
+  }
+  const starts = spec.kind === 'gang' ? missing <= 0 : missing < count;
+  return evictions.length > 0 && starts ? { evictions, rank: [worst, evictions.length, sizes] } : null;
+};
+
 /** Which groups to preempt so that `count` tasks can start; none if no eviction would lead to a start. */
 export const chooseVictims = (
   spec: JobSpec,
@@ -77,61 +161,14 @@
 ): readonly Eviction[] => {
   const usable = machines.filter((machine) => placeAllowed(spec, machine));
   const zones = spec.oneZone ? [...new Set(usable.map((machine) => machine.zone))].sort() : [null];
-  const gang = spec.kind === 'gang';
-  let best: { evictions: Eviction[]; rank: readonly number[] } | null = null;
+  let best: Choice | null = null;
   for (const zone of zones) {
-    const gone = new Set<string>();
-    const evictions: Eviction[] = [];
-    let missing = count;
-    let sizes = 0;
-    let worst = 0;
-    const left = usable.filter((machine) => zone === null || machine.zone === zone);
-    /** Plans stay as they are until a group with tasks on their machine goes for another's sake. */
-    const plans = new Map<OccupiedMachine, Plan | null>();
-    while (missing > 0) {
-      let pick: Plan | null = null;
-      for (const machine of left) {
-        let plan = plans.get(machine);
-        if (plan === undefined) plans.set(machine, (plan = clear(spec, machine, gone)));
-        if (!plan) continue;
-        const weight = (p: Plan): number => p.victims.reduce((sum, victim) => sum + size(victim), 0);
-        const prior = (p: Plan): number => Math.max(-1, ...p.victims.map((victim) => victim.priority));
-        if (
-          !pick ||
-          prior(plan) < prior(pick) ||
-          (prior(plan) === prior(pick) &&
-            (plan.victims.length < pick.victims.length ||
-              (plan.victims.length === pick.victims.length && weight(plan) < weight(pick))))
-        ) {
-          pick = plan;
-        }
-      }
-      if (!pick) break;
-      left.splice(left.indexOf(pick.machine), 1);
-      for (const victim of pick.victims) {
-        const key = keyOf(pick.machine.id, victim);
-        if (gone.has(key)) continue;
-        gone.add(key);
-        if (victim.gang) {
-          for (const machine of left)
-            if (machine.groups.some((group) => group.job === victim.job)) plans.delete(machine);
-        }
-        evictions.push({ machine: pick.machine.id, job: victim.job });
-        sizes += size(victim);
-        worst = Math.max(worst, victim.priority);
-      }
-      missing -= pick.fits;
-    }
-    if (evictions.length === 0 || (gang ? missing > 0 : missing >= count)) continue;
-    const rank = [worst, evictions.length, sizes];
-    if (
-      !best ||
-      rank.some(
-        (value, k) => value < (best?.rank[k] ?? 0) && rank.slice(0, k).every((v, j) => v === best?.rank[j]),
-      )
-    ) {
-      best = { evictions, rank };
-    }
+    const choice = chooseAmong(
+      spec,
+      count,
+      usable.filter((machine) => zone === null || machine.zone === zone),
+    );
+    if (choice && (!best || isLess(choice.rank, best.rank))) best = choice;
   }
   return best?.evictions ?? [];
 };
--- /dev/null
+++ b/src/router.ts
@@ -0,0 +1,41 @@
+import * as Effect from 'effect/Effect';
+import { RETRY_AFTER_S, USER_BUDGET_MS } from './constants.js';
+import type { Call, Reply } from './http.js';
+import type { UsersApi } from './jobs/api.js';
+import type { ReportHandler } from './workers/report-handler.js';
+
+export interface RouterInput {
+  /** Does this node take users' requests at least as well as the others? */
+  readonly ready: () => boolean;
+  readonly reports: Pick<ReportHandler, 'handle'>;
+  readonly users: Pick<UsersApi, 'handle'>;
+}
+
+/** Bounds a user's call. One timer a call: a fiber for each that only waits would cost more than most answers. */
+const withinBudget = (reply: Effect.Effect<Reply>): Promise<Reply> =>
+  new Promise((resolve, reject) => {
+    const timer = setTimeout(() => {
+      resolve({
+        status: 503,
+        body: { error: 'took too long' },
+        headers: { 'retry-after': String(RETRY_AFTER_S) },
+      });
+    }, USER_BUDGET_MS);
+    Effect.runPromise(reply)
+      .then(resolve, reject)
+      .finally(() => clearTimeout(timer));
+  });
+
+/** Routes requests on the API address: health checks, workers' reports, users' calls. */
+export const createRouter =
+  ({ ready, reports, users }: RouterInput): ((call: Call) => Promise<Reply>) =>
+  (call) => {
+    if (call.path === '/ready') return Promise.resolve({ status: ready() ? 200 : 503 });
+    if (call.path === '/hello') {
+      if (call.method !== 'POST') return Promise.resolve({ status: 405, headers: { allow: 'POST' } });
+      return call.body._tag === 'value' ? reports.handle(call.body.value) : Promise.resolve({ status: 400 });
+    }
+    const parts = call.path.split('/').filter((part) => part !== '');
+    if (parts[0] === 'v2' && parts[1] === 'runs') return withinBudget(users.handle(call, parts.slice(2)));
+    return Promise.resolve({ status: 404 });
+  };
--- a/src/service.test.ts
+++ b/src/service.test.ts
@@ -2,7 +2,9 @@
 import { mock, test } from 'node:test';
 import type { Answer } from './http.js';
 import { CANCEL_MS, Cluster, jobOf, NODES, STEP_MS, tick } from './testing/cluster.js';
-import { Luck, World, type StandInJob } from './testing/world.js';
+import { Luck } from './testing/luck.js';
+import { World } from './testing/world.js';
+import type { StandInJob } from './testing/worker-stand-in.js';
 
 /** The service's main path, end to end, against our stand-ins: loss, delay, restarts; one seed, virtual time. */
 const LIMITS = new Map([
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,5 +1,3 @@
-import { randomUUID } from 'node:crypto';
-import * as Cause from 'effect/Cause';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import {
@@ -14,7 +12,6 @@
 import {
   HEARTBEAT_FRESH_MS,
   HEARTBEAT_MS,
-  BODY_MAX_BYTES,
   CLOCK_DRIFT,
   CLOUD_TIMEOUT_MS,
   PROTOCOL_VERSION,
@@ -22,26 +19,18 @@
   PROTOCOL_PIPELINES,
   RELEASE_MAX,
   OUTAGE_GRACE_MARGIN_MS,
-  ANSWER_MAX_BYTES,
-  WORKER_CLIENT_SOCKET_SHARE,
-  INCOMING_SOCKET_SHARE,
-  USER_BUDGET_MS,
 } from './constants.js';
 import { Cloud } from './fleet/cloud.js';
 import { readStored, toCatalog } from './fleet/catalog.js';
+import { ScarceTypes } from './fleet/scarce-types.js';
 import { Leader } from './fleet/leader.js';
 import type { Reservation, Move, Summary } from './fleet/records.js';
-import { Client, parseTarget, serve, type Call, type Callers, type Reply } from './http.js';
+import { parseTarget, type Call, type Callers, type Reply } from './http.js';
+import { createRouter } from './router.js';
+import { supervise } from './supervise.js';
 import { UsersApi } from './jobs/api.js';
 import { readJobRecord } from './jobs/codec.js';
-import {
-  fitsIn,
-  placeAllowed,
-  typeAllowed,
-  type Catalog,
-  type JobRecord,
-  type JobSpec,
-} from './jobs/model.js';
+import { fitsIn, placeAllowed, type Catalog, type JobRecord } from './jobs/model.js';
 import { log } from './log.js';
 import { StoreRelay } from './peers/store-relay.js';
 import { ProtocolVersion } from './peers/protocol-version.js';
@@ -59,7 +48,7 @@
 import { CATALOG_KEY, claimKey, followsKey, jobKey } from './store/keys.js';
 import { LinearizableReads } from './store/linearizable-reads.js';
 import { WatchCache } from './store/watch-cache.js';
-import { WorkerClient, type DirectCommands } from './workers/worker-client.js';
+import { type DirectCommands } from './workers/worker-client.js';
 import { ReportHandler } from './workers/report-handler.js';
 
 /** What a controller needs of the world outside; tests put stand-ins here. */
@@ -343,6 +332,8 @@
     },
   });
 
+  const scarceTypes = new ScarceTypes(catalog);
+
   const shareInput = (slot: number, claim: number): ShareInput => ({
     store,
     cache: cache,
@@ -426,15 +417,6 @@
     return [...record.follows, ...parts.flatMap((part) => unpackIds(part?.value as string[]))];
   };
 
-  /** Types without an alternative for some job seen since this process began. */
-  const scarceTypes = new Set<string>();
-  const noteScarce = (spec: JobSpec): void => {
-    const types = catalog();
-    if (!types || spec.spot) return;
-    const fits = [...types.values()].filter((type) => typeAllowed(spec, type.name) && fitsIn(spec, type));
-    if (fits.length === 1 && fits[0]) scarceTypes.add(fits[0].name);
-  };
-
   cache.onEvent((event) => {
     const key = event._tag === 'put' ? event.item.key : event.key;
     const id = key.slice(4);
@@ -445,7 +427,7 @@
     }
     if (event._tag === 'put' && key.startsWith('w/j/')) {
       const record = readJobRecord(event.item.value);
-      noteScarce(record.spec);
+      scarceTypes.note(record.spec);
       pipelines.onJob(id, record, followsOf(record));
       if (record.cancelled)
         durableAcknowledgements.saw(shareOfTeam.get(record.spec.team) ?? 0, event.item.version);
@@ -496,29 +478,7 @@
     return stateAge() < HEARTBEAT_FRESH_MS || peerNetwork.stateReachability().up === 0;
   };
 
-  /** One timer a call: a fiber for each that only waits would cost more than most answers. */
-  const inTime = (reply: Effect.Effect<Reply>): Promise<Reply> =>
-    new Promise((resolve, reject) => {
-      const timer = setTimeout(() => {
-        resolve({ status: 503, body: { error: 'took too long' }, headers: { 'retry-after': '1' } });
-      }, USER_BUDGET_MS);
-      Effect.runPromise(reply)
-        .then(resolve, reject)
-        .finally(() => clearTimeout(timer));
-    });
-
-  const route = (call: Call): Promise<Reply> => {
-    const parts = call.path.split('/').filter((part) => part !== '');
-    if (call.path === '/ready') return Promise.resolve({ status: ready() ? 200 : 503 });
-    if (call.path === '/hello') {
-      if (call.method !== 'POST') return Promise.resolve({ status: 405, headers: { allow: 'POST' } });
-      return call.body._tag === 'value'
-        ? reportHandler.handle(call.body.value)
-        : Promise.resolve({ status: 400 });
-    }
-    if (parts[0] === 'v2' && parts[1] === 'runs') return inTime(users.handle(call, parts.slice(2)));
-    return Promise.resolve({ status: 404 });
-  };
+  const route = createRouter({ ready, reports: reportHandler, users });
 
   return {
     route,
@@ -545,47 +505,3 @@
     },
   };
 };
-
-/** Runs one controller as this process. */
-export const start = async (settings: Settings): Promise<void> => {
-  const controller = compose(settings, {
-    now: () => performance.now(),
-    wall: () => Date.now(),
-    incarnation: randomUUID(),
-    callers: (target, sockets) => new Client(target, sockets),
-    workerClient: new WorkerClient(Math.floor(settings.facts.quota.fd_limit * WORKER_CLIENT_SOCKET_SHARE)),
-  });
-  const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
-  const connections = Math.floor(settings.facts.quota.fd_limit * INCOMING_SOCKET_SHARE);
-  await serve(
-    parseTarget(settings.api_addr),
-    { connections, crowd: (path) => path === '/hello' },
-    BODY_MAX_BYTES,
-    controller.route,
-    failed,
-  );
-  await serve(
-    parseTarget(settings.mesh_addr),
-    { connections: (settings.siblings.length + 1) * 16 },
-    ANSWER_MAX_BYTES,
-    controller.peerRoute,
-    failed,
-  );
-  log.info({
-    event: 'service.started',
-    node: settings.host_name,
-    zone: settings.area,
-    slots: settings.facts.count,
-  });
-  await Effect.runPromise(controller.run);
-};
-
-/** A slice that fails by a defect is started again: one broken decision must not end the process. */
-const supervise = <A>(name: string, effect: Effect.Effect<A>): Effect.Effect<A> =>
-  Effect.catchCause(effect, (cause) => {
-    log.error({ event: 'slice.failed', name, cause: Cause.pretty(cause) });
-    return Effect.andThen(
-      Effect.sleep(500),
-      Effect.suspend(() => supervise(name, effect)),
-    );
-  });
--- /dev/null
+++ b/src/start.ts
@@ -0,0 +1,47 @@
+import { randomUUID } from 'node:crypto';
+import * as Effect from 'effect/Effect';
+import {
+  ANSWER_MAX_BYTES,
+  BODY_MAX_BYTES,
+  INCOMING_SOCKET_SHARE,
+  WORKER_CLIENT_SOCKET_SHARE,
+} from './constants.js';
+import { Client, parseTarget, serve } from './http.js';
+import { log } from './log.js';
+import { compose } from './service.js';
+import type { Settings } from './settings/schema.js';
+import { WorkerClient } from './workers/worker-client.js';
+
+/** Runs one controller as this process. */
+export const start = async (settings: Settings): Promise<void> => {
+  const controller = compose(settings, {
+    now: () => performance.now(),
+    wall: () => Date.now(),
+    incarnation: randomUUID(),
+    callers: (target, sockets) => new Client(target, sockets),
+    workerClient: new WorkerClient(Math.floor(settings.facts.quota.fd_limit * WORKER_CLIENT_SOCKET_SHARE)),
+  });
+  const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
+  const connections = Math.floor(settings.facts.quota.fd_limit * INCOMING_SOCKET_SHARE);
+  await serve(
+    parseTarget(settings.api_addr),
+    { connections, crowd: (path) => path === '/hello' },
+    BODY_MAX_BYTES,
+    controller.route,
+    failed,
+  );
+  await serve(
+    parseTarget(settings.mesh_addr),
+    { connections: (settings.siblings.length + 1) * 16 },
+    ANSWER_MAX_BYTES,
+    controller.peerRoute,
+    failed,
+  );
+  log.info({
+    event: 'service.started',
+    node: settings.host_name,
+    zone: settings.area,
+    slots: settings.facts.count,
+  });
+  await Effect.runPromise(controller.run);
+};
--- a/src/store/watch-cache.test.ts
+++ b/src/store/watch-cache.test.ts
@@ -3,7 +3,7 @@
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import { CACHE_FRESH_MS } from '../constants.js';
-import { StateStandIn } from '../testing/world.js';
+import { StateStandIn } from '../testing/state-stand-in.js';
 import { Store } from './client.js';
 import { WatchCache } from './watch-cache.js';
 
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -4,7 +4,8 @@
 import { compose, type Controller } from '../service.js';
 import type { Settings } from '../settings/schema.js';
 import { readReport } from '../workers/codec.js';
-import type { StandInJob, World } from './world.js';
+import type { StandInJob } from './worker-stand-in.js';
+import type { World } from './world.js';
 
 /** Three composed controllers among the stand-ins, as processes that end and come back. */
 export const NODES = ['n0', 'n1', 'n2'] as const;
--- a/src/testing/day.ts
+++ b/src/testing/day.ts
@@ -2,7 +2,9 @@
 import type { Answer } from '../http.js';
 import type { compose } from '../service.js';
 import { CANCEL_MS, Cluster, jobOf, LEASE_MS, NODES, REPORT_MS, STEP_MS, tick } from './cluster.js';
-import { Luck, World, type StandInJob } from './world.js';
+import { Luck } from './luck.js';
+import { World } from './world.js';
+import type { StandInJob } from './worker-stand-in.js';
 
 /** A drawn day of users, controllers and troubles, from one seed, with the rules checked as it goes. */
 export interface Day {
@@ -307,6 +309,26 @@
     }
   }
 
+  /** Draws all jobs and pipelines, and plans when each is submitted. */
+  private submitAll(): void {
+    const count = this.day.jobs ?? 14;
+    for (let n = 0; n < count; n += 1) {
+      const job = this.draw(n);
+      this.jobs.push(job);
+      setTimeout(() => void this.user(job), 3_000 + n * (this.day.everyS ?? 4) * 1_000);
+    }
+    for (let n = 0; n < (this.day.pipelines ?? 0); n += 1) {
+      this.pipeline(n).forEach((job, k) => {
+        this.jobs.push(job);
+        const late = k === 4 && n % 3 === 2;
+        setTimeout(
+          () => void this.user(job, late),
+          (this.day.pipelinesFromS ?? 6) * 1_000 + n * (this.day.everyS ?? 4) * 2_000,
+        );
+      });
+    }
+  }
+
   /** Returns the rules that were broken. */
   async run(): Promise<readonly string[]> {
     const { day, world, cluster } = this;
@@ -316,22 +338,7 @@
       if (day.production) for (const node of NODES) cluster.versions.set(node, day.production);
       NODES.forEach((node) => cluster.up(node));
       for (let k = 0; k < 4; k += 1) world.boot(k % 2 === 0 ? 'x' : 'y', false, 100);
-      const count = day.jobs ?? 14;
-      for (let n = 0; n < count; n += 1) {
-        const job = this.draw(n);
-        this.jobs.push(job);
-        setTimeout(() => void this.user(job), 3_000 + n * (day.everyS ?? 4) * 1_000);
-      }
-      for (let n = 0; n < (day.pipelines ?? 0); n += 1) {
-        this.pipeline(n).forEach((job, k) => {
-          this.jobs.push(job);
-          const late = k === 4 && n % 3 === 2;
-          setTimeout(
-            () => void this.user(job, late),
-            (day.pipelinesFromS ?? 6) * 1_000 + n * (day.everyS ?? 4) * 2_000,
-          );
-        });
-      }
+      this.submitAll();
       const troubles = [...day.troubles].sort((a, b) => a[0] - b[0]);
       this.calm = begin + (troubles.at(-1)?.[0] ?? 0) * 1_000 + 1_000;
       const end = begin + 700_000;
--- a/src/testing/hunt.ts
+++ b/src/testing/hunt.ts
@@ -4,7 +4,7 @@
  */
 import { Play, type Day } from './day.js';
 import { TROUBLES } from './troubles.js';
-import { Luck } from './world.js';
+import { Luck } from './luck.js';
 
 export const drawDay = (seed: number, wanted: readonly string[] = []): Day & { readonly names: string } => {
   const luck = new Luck(seed);
--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -10,7 +10,7 @@
 import { join } from 'node:path';
 import { BODY_MAX_BYTES } from '../constants.js';
 import { Client, decode, encode, parseTarget, serve, type Call, type Reply } from '../http.js';
-import { StateStandIn } from './world.js';
+import { StateStandIn } from './state-stand-in.js';
 
 const [machinesText, secondsText, nodesText, ...flags] = process.argv.slice(2);
 const MACHINES = Number(machinesText ?? 300);
--- /dev/null
+++ b/src/testing/luck.ts
@@ -0,0 +1,14 @@
+import * as prand from 'pure-rand';
+
+export class Luck {
+  private readonly generator: prand.RandomGenerator;
+  constructor(seed: number) {
+    this.generator = prand.xoroshiro128plus(seed);
+  }
+  below(bound: number): number {
+    return prand.unsafeUniformIntDistribution(0, bound - 1, this.generator);
+  }
+  chance(share: number): boolean {
+    return this.below(1_000_000) < share * 1_000_000;
+  }
+}
--- a/src/testing/troubles.ts
+++ b/src/testing/troubles.ts
@@ -1,4 +1,4 @@
-import type { Luck } from './world.js';
+import type { Luck } from './luck.js';
 import type { Play } from './day.js';
 
 /** One trouble: what happens when, in s from its begin. */
