--- a/src/cancellation/acknowledgement.ts
+++ b/src/cancellation/acknowledgement.ts
@@ -19,6 +19,7 @@
   readonly version: number;
 }
 
+/** What the acknowledgement of cancellations needs of the rest of the controller. */
 export interface CancellationAcknowledgementInput {
   readonly me: string;
   readonly store: Store;
@@ -34,6 +35,7 @@
 /** The messages between nodes. */
 const writeAcknowledgeRequest = (list: readonly Cancellation[]): unknown =>
   list.map(({ slot, claim, job, version }) => [slot, claim, job, version]);
+/** Reads a request to acknowledge cancellations; rows that are malformed are left out. */
 export const readAcknowledgeRequest = (body: unknown): readonly Cancellation[] =>
   (Array.isArray(body) ? (body as unknown[]) : []).flatMap((row) => {
     if (!Array.isArray(row)) return [];
--- a/src/cancellation/durable-acknowledgement.ts
+++ b/src/cancellation/durable-acknowledgement.ts
@@ -9,15 +9,18 @@
   readonly claim: number;
   readonly revision: number;
 }
+/** Writes a durable acknowledgement as it is stored. */
 export const writeAcknowledgement = (mark: DurableAcknowledgement): unknown => ({
   c: mark.claim,
   r: mark.revision,
 });
+/** Reads a stored durable acknowledgement. */
 export const readAcknowledgement = (value: unknown): DurableAcknowledgement => {
   const raw = value as { c: number; r: number };
   return { claim: raw.c, revision: raw.r };
 };
 
+/** What durable acknowledgements need of the rest of the controller. */
 export interface DurableAcknowledgementsInput {
   readonly store: Store;
   readonly cache: Pick<WatchCache, 'get' | 'revision'>;
--- a/src/cancellation/evidence.ts
+++ b/src/cancellation/evidence.ts
@@ -22,6 +22,7 @@
   readonly understands: boolean;
 }
 
+/** Whether a cancellation may be told to its user, and on which evidence. */
 export type Assured =
   | { readonly _tag: 'assured'; readonly by: 'free' | 'later claim' | 'acknowledged' | 'summary' | 'mark' }
   | { readonly _tag: 'open' };
--- a/src/claims/decide.ts
+++ b/src/claims/decide.ts
@@ -9,14 +9,17 @@
 /** Which claims to take or hand back. Plain data in, plain data out. */
 export const LEADER = 'L';
 
+/** Which process holds a slot. */
 export interface Claim {
   readonly node: string;
   /** Tells this process from an earlier one of the same node. */
   readonly incarnation: string;
 }
+/** A claim as the watch cache shows it, with the revision at which it was taken. */
 export interface SeenClaim extends Claim {
   readonly version: number;
 }
+/** What the claims need to know of another controller. */
 export interface Peer {
   readonly node: string;
   readonly incarnation: string;
@@ -27,6 +30,7 @@
   /** It says that workers lately could not reach it. */
   readonly deaf: boolean;
 }
+/** Everything that a decision about claims looks at. */
 export interface ClaimsView {
   readonly me: Claim;
   readonly nodes: readonly string[];
@@ -41,6 +45,7 @@
   readonly deaf: boolean;
   readonly now: number;
 }
+/** A claim to take, or to hand to another controller. */
 export type ClaimAction =
   | { readonly _tag: 'take'; readonly slot: string; readonly version: number }
   | { readonly _tag: 'hand'; readonly slot: string; readonly version: number; readonly to: Peer };
@@ -99,6 +104,7 @@
   return [];
 };
 
+/** The claims that this node should take or hand on now. */
 export const decideClaims = (view: ClaimsView): readonly ClaimAction[] => [
   ...claimsToTake(view),
   ...claimsUnheard(view),
--- a/src/claims/lease-manager.ts
+++ b/src/claims/lease-manager.ts
@@ -7,6 +7,7 @@
 import { decideClaims, LEADER, type Claim, type SeenClaim, type Peer } from './decide.js';
 import { mayAct, nextLeaseState, type LeaseState, type LeaseEvent } from './lease-state.js';
 
+/** What the lease manager needs of the rest of the controller. */
 export interface LeaseManagerInput {
   readonly me: Claim;
   readonly nodes: readonly string[];
--- a/src/claims/lease-state.ts
+++ b/src/claims/lease-state.ts
@@ -14,6 +14,7 @@
   /** The lease may be over: nobody is answered until a renewal says that it is not. */
   | { readonly _tag: 'suspended'; readonly lease: number };
 
+/** What changes the state of a lease. */
 export type LeaseEvent =
   | { readonly _tag: 'granted'; readonly lease: number; readonly sentAt: number }
   | { readonly _tag: 'renewed'; readonly lease: number; readonly sentAt: number }
@@ -25,9 +26,11 @@
       readonly outageGraceUntil: number | null;
     };
 
+/** ms, steady: until when a lease surely lasts whose last good renewal was sent at `sentAt`. */
 export const deadline = (sentAt: number, ttlMs: number): number =>
   sentAt + ttlMs * (1 - CLOCK_DRIFT) - CLAIM_MARGIN_MS;
 
+/** The one place where the state of a lease changes. */
 export const nextLeaseState = (tenure: LeaseState, event: LeaseEvent, ttlMs: number): LeaseState => {
   switch (event._tag) {
     case 'granted':
@@ -60,6 +63,7 @@
   }
 };
 
+/** May this node act on its claims now? */
 export const mayAct = (tenure: LeaseState, now: number): boolean => {
   switch (tenure._tag) {
     case 'holding':
--- a/src/fleet/catalog.ts
+++ b/src/fleet/catalog.ts
@@ -46,5 +46,6 @@
   return types;
 };
 
+/** The machine types by name. */
 export const toCatalog = (types: readonly MachineType[]): Catalog =>
   new Map(types.map((type) => [type.name, type]));
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -13,9 +13,11 @@
   readonly state: 'booting' | 'running' | 'failed';
   readonly ageS: number;
 }
+/** The answer to a question for the machine types. */
 export type CatalogResult =
   | { readonly _tag: 'types'; readonly types: readonly MachineType[] }
   | { readonly _tag: 'failed'; readonly why: string };
+/** What became of a rental request. */
 export type RentResult =
   | { readonly _tag: 'rented'; readonly machines: readonly string[] }
   | { readonly _tag: 'noCapacity' }
@@ -23,10 +25,12 @@
   | { readonly _tag: 'refused'; readonly why: string }
   /** May have been carried out, or may be later. */
   | { readonly _tag: 'unknown'; readonly why: string };
+/** A page of the machine list. */
 export type MachinesResult =
   | { readonly _tag: 'page'; readonly machines: readonly ListedMachine[]; readonly more: boolean }
   | { readonly _tag: 'failed'; readonly why: string };
 
+/** A rental request under its unique name. */
 export interface RentRequest {
   readonly name: string;
   readonly type: string;
@@ -47,6 +51,7 @@
   paddocks: string[];
 }
 
+/** Reads the machine types of a catalog answer; null: malformed. */
 export const readTypes = (raw: readonly RawType[]): readonly MachineType[] =>
   raw.map((type) => ({
     name: type.sku,
@@ -66,6 +71,7 @@
   failed: 'failed',
 };
 
+/** Client for the cloud's interface, within this node's part of its rate. */
 export class Cloud {
   private readonly client: Caller;
   private readonly budget: RateLimiter;
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -32,6 +32,7 @@
   type Summary,
 } from './records.js';
 
+/** What the leader needs of the rest of the controller. */
 export interface LeaderInput {
   readonly store: Store;
   readonly cache: WatchCache;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -15,6 +15,7 @@
       readonly count: number;
     };
 
+/** Everything that the plan of a round looks at. */
 export interface PlanInput {
   readonly summaries: readonly Summary[];
   readonly catalog: Catalog;
@@ -30,6 +31,7 @@
   /** Machines that were lately ordered to a share whose summary does not show them yet. */
   readonly moving: readonly Moving[];
 }
+/** A machine that was ordered to a share and does not show there yet. */
 export interface Moving {
   readonly machine: string;
   readonly to: number;
@@ -37,6 +39,7 @@
   readonly zone: string;
   readonly spot: boolean;
 }
+/** What the leader does this round, and the reservations in force after it. */
 export interface Plan {
   readonly steps: readonly Step[];
   readonly holds: readonly Reservation[];
@@ -352,6 +355,7 @@
   }
 }
 
+/** Plans one round. Pure: the same input gives the same plan. */
 export const planSteps = (input: PlanInput): Plan => new Planner(input).run();
 
 /** Is a machine of this type, zone and kind among those that a hold gathers? */
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -13,6 +13,7 @@
   readonly session: number;
 }
 
+/** Writes a machine record as it is stored. */
 export const writeMachineRecord = (record: MachineRecord): unknown => ({
   s: record.share,
   b: record.type,
@@ -23,6 +24,7 @@
   ...(record.addr === '' ? {} : { a: record.addr, n: record.session }),
 });
 
+/** Reads a stored machine record. */
 export const readMachineRecord = (data: unknown): MachineRecord => {
   const raw = data as {
     s: number;
@@ -46,6 +48,7 @@
   };
 };
 
+/** A job that waits whole: a gang, or another job of which nothing has begun. */
 export interface WaitingGang {
   readonly job: string;
   readonly tasks: number;
@@ -101,6 +104,7 @@
   readonly waitedMs: number;
 }
 
+/** A machine without tasks that may go to another share. */
 export interface SpareMachine {
   readonly id: string;
   readonly type: string;
@@ -109,6 +113,7 @@
   readonly idleS: number;
 }
 
+/** What the holder of a share tells the leader. */
 export interface Summary {
   readonly share: number;
   readonly claim: number;
--- a/src/http.ts
+++ b/src/http.ts
@@ -12,6 +12,7 @@
 /** MessagePack over Node's own HTTP: one keep-alive agent per address, bounded sockets, bounded bodies. */
 const packr = new Packr({ useRecords: false, mapsAsObjects: true, int64AsType: 'number' });
 
+/** Packs a value for the wire. */
 export const encode = (value: unknown): Buffer => packr.pack(value);
 
 /**
@@ -21,18 +22,22 @@
 export const oneWrite = (payload: Buffer): [string | Buffer, BufferEncoding] =>
   payload.length <= ONE_WRITE_BYTES ? [payload.toString('latin1'), 'latin1'] : [payload, 'latin1'];
 
+/** Unpacks a body; throws if it is malformed. */
 export const decode = (body: Buffer): unknown => packr.unpack(body);
 
+/** The outcome of a request. */
 export type Answer =
   | { readonly _tag: 'answer'; readonly status: number; readonly body: unknown }
   /** Nothing is known about what became of the request. */
   | { readonly _tag: 'silence'; readonly why: string };
 
+/** Host and port of a server. */
 export interface Target {
   readonly host: string;
   readonly port: number;
 }
 
+/** Reads `host:port`. */
 export const parseTarget = (text: string): Target => {
   const cut = text.lastIndexOf(':');
   return { host: text.slice(0, cut), port: Number(text.slice(cut + 1)) };
@@ -42,8 +47,10 @@
 export interface Caller {
   request(method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer>;
 }
+/** Makes a caller for one address with a bounded number of sockets. */
 export type Callers = (target: Target, sockets: number) => Caller;
 
+/** HTTP client for one address, with connections kept open. */
 export class Client implements Caller {
   private readonly agent: http.Agent;
   constructor(
@@ -112,6 +119,7 @@
   }
 }
 
+/** An answer of this node, before it is packed. */
 export interface Reply {
   readonly status: number;
   readonly body?: unknown;
@@ -120,12 +128,14 @@
   readonly text?: string;
 }
 
+/** A request body after reading. */
 export type Body =
   | { readonly _tag: 'value'; readonly value: unknown }
   | { readonly _tag: 'empty' }
   | { readonly _tag: 'malformed' }
   | { readonly _tag: 'tooLarge' };
 
+/** A request to this node. */
 export interface Call {
   readonly method: string;
   readonly path: string;
@@ -158,6 +168,7 @@
   readonly idleMs?: number;
 }
 
+/** Listens on an address and answers each request with what `handle` resolves to. */
 export const serve = (
   at: Target,
   guests: Guests,
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -28,6 +28,7 @@
   type JobSpec,
 } from './model.js';
 
+/** What the users' API needs of the rest of the controller. */
 export interface ApiInput {
   readonly store: Store;
   readonly fresh: LinearizableReads;
@@ -91,6 +92,7 @@
   | { readonly _tag: 'never' }
   | { readonly _tag: 'unsure' };
 
+/** The users' API: submissions, polls and cancellations. */
 export class UsersApi {
   constructor(private readonly input: ApiInput) {}
 
--- a/src/jobs/codec.ts
+++ b/src/jobs/codec.ts
@@ -10,6 +10,7 @@
 const nullable = <S extends Schema.Top>(schema: S) => Schema.optional(Schema.NullOr(schema));
 
 const ID = /^job-\d{1,18}$/;
+/** Does the text have the form of a job id? */
 export const isJobId = (text: string): boolean => ID.test(text);
 
 const Submission = Schema.Struct({
@@ -41,10 +42,12 @@
 const KINDS: Record<string, JobKind> = { sweep: 'array', group: 'gang', service: 'service' };
 const PRIORITIES: Record<string, Priority> = { prod: 3, urgent: 2, standard: 1, best_effort: 0 };
 
+/** A submission after reading. */
 export type Submitted =
   | { readonly _tag: 'job'; readonly spec: JobSpec; readonly follows: readonly string[] }
   | { readonly _tag: 'malformed'; readonly why: string };
 
+/** Reads and checks a submission. */
 export const readSubmission = (value: unknown): Submitted => {
   const result = decodeSubmission(value);
   if (!Result.isSuccess(result)) {
@@ -79,8 +82,10 @@
   };
 };
 
+/** The status of a job as its user sees it. */
 export type JobStatus = 'pending' | 'running' | FinalState;
 
+/** The body of an answer about a job's status. */
 export const writeStatus = (
   id: string,
   status: JobStatus,
@@ -118,6 +123,7 @@
 /** bytes: the size of a value as the state service measures it. */
 export const jsonBytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
 
+/** Writes a job record as it is stored. */
 export const writeJobRecord = (job: JobRecord): unknown => ({
   s: SPEC_FIELDS.map((field) => job.spec[field]),
   t: job.at,
@@ -143,6 +149,7 @@
   });
 };
 
+/** Reads a stored job record. */
 export const readJobRecord = (data: unknown): JobRecord => {
   const raw = data as {
     s: unknown[];
@@ -166,17 +173,21 @@
   };
 };
 
+/** Writes a final record as it is stored. */
 export const writeFinalRecord = (final: FinalRecord): unknown => ({
   s: final.state,
   t: final.at,
   n: final.tasks,
 });
+/** Reads a stored final record. */
 export const readFinalRecord = (data: unknown): FinalRecord => {
   const raw = data as { s: FinalState; t: number; n: number };
   return { state: raw.s, at: raw.t, tasks: raw.n };
 };
 
+/** The name of a task on the wire. */
 export const taskName = (job: string, index: number): string => `${job}/${index}`;
+/** Reads a task's name; null: malformed. */
 export const parseTaskName = (name: string): { job: string; index: number } | null => {
   const cut = name.lastIndexOf('/');
   const index = Number(name.slice(cut + 1));
--- a/src/jobs/model.ts
+++ b/src/jobs/model.ts
@@ -1,9 +1,11 @@
 /** Jobs, their tasks and what is durable about them. Plain data; no wire words. */
 
+/** The shape of a job. */
 export type JobKind = 'array' | 'gang' | 'service';
 /** Larger is more important. */
 export type Priority = 0 | 1 | 2 | 3;
 
+/** A job as it was submitted, in the terms of this service. */
 export interface JobSpec {
   readonly id: string;
   readonly klass: string;
@@ -41,14 +43,17 @@
   readonly parts: number;
 }
 
+/** How a job ended. */
 export type FinalState = 'done' | 'cancelled';
 
+/** The durable record of a job that is over. */
 export interface FinalRecord {
   readonly state: FinalState;
   readonly at: number;
   readonly tasks: number;
 }
 
+/** A machine type of the catalog. */
 export interface MachineType {
   readonly name: string;
   readonly cpus: number;
@@ -61,16 +66,20 @@
   readonly zones: readonly string[];
 }
 
+/** Machine types by name. */
 export type Catalog = ReadonlyMap<string, MachineType>;
 
+/** Amounts that a task or a group of tasks takes. */
 export interface Demand {
   readonly cpus: number;
   readonly gpus: number;
   readonly memoryGb: number;
 }
 
+/** Tolerance when amounts are compared, since decimal numbers are added and subtracted. */
 export const EPS = 1e-9;
 
+/** Do these amounts fit into those? */
 export const fitsIn = (need: Demand, room: Demand): boolean =>
   need.cpus <= room.cpus + EPS && need.gpus <= room.gpus + EPS && need.memoryGb <= room.memoryGb + EPS;
 
@@ -83,9 +92,11 @@
   return Math.max(0, count);
 };
 
+/** Does the job allow this machine type? */
 export const typeAllowed = (spec: Pick<JobSpec, 'types'>, type: string): boolean =>
   spec.types === null || spec.types.includes(type);
 
+/** Does the job allow this type, zone and kind of machine? */
 export const placeAllowed = (spec: JobSpec, place: { type: string; zone: string; spot: boolean }): boolean =>
   typeAllowed(spec, place.type) &&
   (spec.zone === null || spec.zone === place.zone) &&
--- a/src/peers/network.ts
+++ b/src/peers/network.ts
@@ -38,6 +38,7 @@
   readonly holds: readonly Reservation[];
 }
 
+/** Requests and changes a second that a node asks of the state service. */
 export interface Demand {
   readonly requests: number;
   readonly changes: number;
@@ -51,6 +52,7 @@
   counts: Map<number, Map<string, { done: number; running: number }>> | null;
 }
 
+/** What the peer network needs of the rest of the controller. */
 export interface PeerNetworkInput {
   readonly me: string;
   readonly peers: readonly { readonly host_name: string; readonly endpoint: string }[];
@@ -74,6 +76,7 @@
   return total * (RATE_EVEN_FRACTION / nodes + (1 - RATE_EVEN_FRACTION) * byDemand);
 };
 
+/** Heartbeats and requests between the controllers, and what each last heard of the others. */
 export class PeerNetwork {
   private readonly clients = new Map<string, Caller>();
   private readonly known = new Map<string, Known>();
--- a/src/peers/protocol-version.ts
+++ b/src/peers/protocol-version.ts
@@ -16,6 +16,7 @@
   readonly announced: () => readonly (number | null)[];
 }
 
+/** Agrees on the protocol version that every controller understands. */
 export class ProtocolVersion {
   constructor(private readonly input: ProtocolVersionInput) {}
 
--- a/src/peers/store-relay.ts
+++ b/src/peers/store-relay.ts
@@ -26,6 +26,7 @@
   readonly holds: readonly Reservation[];
 }
 
+/** Passes summaries and orders through the state service where connections are refused. */
 export class StoreRelay {
   private readonly heard = new Map<number, { summary: Summary; at: number }>();
   private readonly told = new Map<number, { orders: Orders; at: number }>();
--- a/src/pipelines/codec.ts
+++ b/src/pipelines/codec.ts
@@ -29,6 +29,7 @@
   return value;
 };
 
+/** Reads ids that `packIds` wrote. */
 export const unpackIds = (texts: readonly string[]): readonly string[] =>
   texts.flatMap((text) => {
     const cut = text.indexOf(':');
--- a/src/pipelines/finals.ts
+++ b/src/pipelines/finals.ts
@@ -5,6 +5,7 @@
 import type { Store } from '../store/client.js';
 import { finalKey } from '../store/keys.js';
 
+/** The outcome of reading a final record. */
 export type FinalRead =
   | { readonly _tag: 'found'; readonly final: FinalRecord }
   | { readonly _tag: 'absent' }
--- a/src/pipelines/graph.ts
+++ b/src/pipelines/graph.ts
@@ -46,6 +46,7 @@
 const earliest = (a: number | null, b: number | null): number | null =>
   a === null ? b : b === null ? a : Math.min(a, b);
 
+/** The index of which job follows which, with readiness and standing of each. */
 export class PipelineIndex {
   private readonly nodes = new Map<string, Node>();
   /** Who follows a job; also of jobs that are over, as long as somebody does. */
--- a/src/pipelines/pipelines.ts
+++ b/src/pipelines/pipelines.ts
@@ -7,6 +7,7 @@
 import type { Finals } from './finals.js';
 import { PipelineIndex, type Outcome, type Readiness, type Standing } from './graph.js';
 
+/** What the view of the pipelines needs of the rest of the controller. */
 export interface PipelinesInput {
   readonly cache: Pick<WatchCache, 'get'>;
   readonly finals: Finals;
--- a/src/placement/binder.ts
+++ b/src/placement/binder.ts
@@ -5,6 +5,7 @@
 import type { WorkerSessions } from './worker-sessions.js';
 import type { RunWrite, Writer } from './writer.js';
 
+/** What the binder needs of its share. */
 export interface BinderInput {
   readonly shareState: ShareState;
   readonly writer: Writer;
--- a/src/placement/machine-lifecycle.ts
+++ b/src/placement/machine-lifecycle.ts
@@ -8,6 +8,7 @@
 import type { WorkerSessions } from './worker-sessions.js';
 import type { Writer } from './writer.js';
 
+/** What the machine lifecycle needs of its share. */
 export interface MachineLifecycleInput {
   readonly slot: number;
   readonly store: Store;
--- a/src/placement/machine-liveness.ts
+++ b/src/placement/machine-liveness.ts
@@ -28,6 +28,7 @@
   readonly wall: () => number;
 }
 
+/** What may be concluded from a machine's reports and its silence. */
 export class MachineLiveness {
   /** ms: when this holder had read the share's runs; null: not yet. */
   loadedAt: number | null = null;
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -20,6 +20,7 @@
   readonly empty: boolean;
 }
 
+/** A job with tasks that wait for room. */
 export interface PlacementRequest {
   readonly job: string;
   readonly spec: JobSpec;
@@ -39,15 +40,18 @@
   readonly gathering: boolean;
 }
 
+/** CPUs and GPUs that a team uses. */
 export interface Usage {
   cpus: number;
   gpus: number;
 }
+/** CPUs and GPUs that a team may use at most. */
 export interface Limit {
   readonly cpusMax: number;
   readonly gpusMax: number;
 }
 
+/** One task put on one machine. */
 export interface Assignment {
   readonly job: string;
   readonly index: number;
@@ -223,6 +227,7 @@
   return zones;
 };
 
+/** Places one request: the whole gang or nothing, of other jobs as many tasks as fit. */
 export const packOne = (
   ask: PlacementRequest,
   rooms: readonly AvailableCapacity[],
@@ -262,6 +267,7 @@
   return puts;
 };
 
+/** The outcome of packing a list of requests. */
 export interface Packed {
   readonly puts: readonly Assignment[];
   /** What found no room, with the number of tasks that the limit allows and that still wait. */
@@ -286,6 +292,7 @@
       (a.job < b.job ? -1 : 1),
   );
 
+/** Places requests in their order within the teams' limits. */
 export const packAll = (
   asks: readonly PlacementRequest[],
   rooms: readonly AvailableCapacity[],
--- a/src/placement/placement-view.ts
+++ b/src/placement/placement-view.ts
@@ -72,6 +72,7 @@
   return machine.bound.size === 0 && idle <= RESERVED_IDLE ? 'reserve' : 'no';
 };
 
+/** Room on each machine that may take tasks, now or once it is up. */
 export const availableCapacity = (input: ViewInput): AvailableCapacity[] => {
   const { shareState, liveness } = input;
   const rooms: AvailableCapacity[] = [];
@@ -140,6 +141,7 @@
   return zones;
 };
 
+/** Jobs with tasks that wait for room, in the order in which they are to be placed. */
 export const placementRequests = (input: ViewInput): readonly PlacementRequest[] => {
   const { shareState, now, wall } = input;
   const asks: PlacementRequest[] = [];
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -12,6 +12,7 @@
   readonly tasks: number;
   readonly demand: Demand;
 }
+/** A machine with the groups of tasks on it that could be stopped. */
 export interface OccupiedMachine {
   readonly id: string;
   readonly type: string;
@@ -20,6 +21,7 @@
   readonly free: Demand;
   readonly groups: readonly Group[];
 }
+/** A group to be stopped: a whole gang, or the tasks of another job on one machine. */
 export interface Eviction {
   readonly machine: string;
   readonly job: string;
--- a/src/placement/preemptor.ts
+++ b/src/placement/preemptor.ts
@@ -7,6 +7,7 @@
 import type { Binding, ShareJob } from './state.js';
 import type { UnplacedRequest } from './unmet-demand.js';
 
+/** What the preemptor needs of its share. */
 export interface PreemptorInput {
   readonly slot: number;
   readonly shareState: ShareState;
--- a/src/placement/record-flusher.ts
+++ b/src/placement/record-flusher.ts
@@ -5,6 +5,7 @@
 import { isFinished, type ShareJob } from './state.js';
 import type { RunWrite, Writer } from './writer.js';
 
+/** What the record flusher needs of its share. */
 export interface RecordFlusherInput {
   readonly store: Store;
   readonly shareState: ShareState;
--- a/src/placement/records.ts
+++ b/src/placement/records.ts
@@ -13,8 +13,10 @@
 }
 
 const firstOf = (chunk: number): number => chunk * CHUNK_TASKS;
+/** The number of the run record that holds a task. */
 export const chunkOf = (index: number): number => Math.floor(index / CHUNK_TASKS);
 
+/** The run record of a job as it should be stored now. */
 export const runRecord = (job: ShareJob, chunk: number): RunRecord => {
   const first = firstOf(chunk);
   const done: number[] = [];
@@ -97,6 +99,7 @@
   ...stored,
   record: { ...(stored.record as object), q: 1 },
 });
+/** A run record that makes what was prepared for this attempt valid. */
 export const validating = (stored: StoredRun, attempt: number): StoredRun => ({
   ...stored,
   record: { ...(stored.record as object), v: attempt },
@@ -112,12 +115,14 @@
 /** How many parts the stored record of a run has. */
 export const partsOf = (data: unknown): number => (data as { p?: number }).p ?? 0;
 
+/** Writes a run in its plain layout, which every version reads. */
 export const writeRunRecord = (record: RunRecord, chunk: number): unknown => ({
   d: packBits(record.done, firstOf(chunk)),
   b: record.bindings.map((binding) => [binding.index, binding.machine, binding.attempt]),
   n: record.attempt,
 });
 
+/** Reads a stored run with its parts. */
 export const readRunRecord = (data: unknown, chunk: number, parts: readonly unknown[] = []): RunRecord => {
   const raw = data as { d: string; b: Row[]; n: number };
   const rows = [...raw.b, ...parts.flatMap((part) => (part as { b: Row[] }).b)];
@@ -130,7 +135,9 @@
   };
 };
 
+/** The bindings that a stored run record holds. */
 export const durableKeys = (job: string, record: RunRecord): ReadonlySet<string> =>
   new Set(record.bindings.map((binding) => bindingKey(job, binding.index, binding.attempt)));
 
+/** Are two run records alike? */
 export const sameRecord = (a: RunRecord, b: RunRecord): boolean => JSON.stringify(a) === JSON.stringify(b);
--- a/src/placement/run-loader.ts
+++ b/src/placement/run-loader.ts
@@ -3,6 +3,7 @@
 import { counts, durableKeys, partsOf, readRunRecord, validAttempt } from './records.js';
 import type { ShareState } from './share-state.js';
 
+/** What the run loader needs of its share. */
 export interface RunLoaderInput {
   readonly slot: number;
   readonly shareState: ShareState;
--- a/src/placement/share-state.ts
+++ b/src/placement/share-state.ts
@@ -20,6 +20,7 @@
 } from './state.js';
 import { nextPhase, onMachine, type Gone, type Phase, type PhaseEvent } from './task.js';
 
+/** What the state of a share needs of the rest of the controller. */
 export interface ShareStateInput {
   readonly now: () => number;
   /** ms since the epoch. */
--- a/src/placement/share-summary.ts
+++ b/src/placement/share-summary.ts
@@ -8,6 +8,7 @@
 import { spareMachines, unmetDemand, type UnplacedRequest } from './unmet-demand.js';
 import type { Objectives } from './urgency.js';
 
+/** What the summary of a share needs of it. */
 export interface ShareSummaryInput {
   readonly slot: number;
   readonly claim: number;
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -26,6 +26,7 @@
 import type { Objectives } from './urgency.js';
 import { Writer } from './writer.js';
 
+/** What a share needs of the rest of the controller. */
 export interface ShareInput {
   readonly store: Store;
   readonly cache: WatchCache;
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -6,6 +6,7 @@
 /** Why tasks are being stopped; decides the grace and what happens to the job afterwards. */
 export type StopReason = 'cancelled' | 'broken' | 'evicted' | 'draining' | 'finished';
 
+/** An order to stop a task. */
 export interface Stop {
   readonly reason: StopReason;
   readonly graceS: number;
@@ -13,6 +14,7 @@
   readonly since: number;
 }
 
+/** One attempt of one task bound to one machine. */
 export interface Binding {
   readonly job: string;
   readonly index: number;
@@ -29,6 +31,7 @@
   asked: number;
 }
 
+/** What is known of one stored run record. */
 export interface Chunk {
   /** What the state service holds, and in how many parts beside the record. */
   version: number;
@@ -38,6 +41,7 @@
   dirtyFrom: number | null;
 }
 
+/** A job of the share, with its tasks. */
 export interface ShareJob {
   /** As placement is to treat it: with the priority and the deadline that it has for the jobs that need it. */
   spec: JobSpec;
@@ -77,12 +81,14 @@
   writing: number;
 }
 
+/** Whether a machine can be trusted with tasks. */
 export type Health =
   | { readonly _tag: 'fine' }
   /** A task of `job` failed here; nothing new until it is clear whose fault that is. */
   | { readonly _tag: 'suspect'; readonly job: string; readonly until: number }
   | { readonly _tag: 'sick' };
 
+/** A machine of the share, with what its worker last said. */
 export interface ShareMachine {
   readonly id: string;
   readonly type: string;
@@ -131,13 +137,16 @@
   free: Free | null;
 }
 
+/** Room on a machine. */
 export type Free =
   | { readonly _tag: 'free'; readonly cpus: number; readonly gpus: number; readonly memoryGb: number }
   /** Something is on it of which we don't know the size. */
   | { readonly _tag: 'unclear' };
 
+/** Names one attempt of one task. */
 export const bindingKey = (job: string, index: number, attempt: number): string =>
   `${job}/${index}#${attempt}`;
 
+/** Are all tasks of the job done? */
 export const isFinished = (job: ShareJob): boolean =>
   job.spec.kind !== 'service' && job.done.size >= job.spec.tasks;
--- a/src/placement/task.ts
+++ b/src/placement/task.ts
@@ -13,6 +13,7 @@
   /** Evidence is in: the attempt is no longer on its machine. */
   | { readonly _tag: 'gone'; readonly how: Gone };
 
+/** The evidence that an attempt is gone. */
 export type Gone =
   | { readonly _tag: 'exited'; readonly cause: ExitCause; readonly saved: boolean }
   /** A newer report under the current token, without it. */
@@ -21,11 +22,13 @@
   | { readonly _tag: 'released' }
   | { readonly _tag: 'leaseOver' };
 
+/** What changes the phase of an attempt. */
 export type PhaseEvent =
   | { readonly _tag: 'durable' }
   | { readonly _tag: 'reported'; readonly state: TaskState }
   | { readonly _tag: 'lost'; readonly how: Gone };
 
+/** The one place where the phase of an attempt changes. */
 export const nextPhase = (phase: Phase, event: PhaseEvent): Phase => {
   if (phase._tag === 'gone') return phase;
   switch (event._tag) {
--- a/src/placement/unmet-demand.ts
+++ b/src/placement/unmet-demand.ts
@@ -14,6 +14,7 @@
 import type { ShareMachine } from './state.js';
 import type { Objectives } from './urgency.js';
 
+/** A request with the number of its tasks that found no room. */
 export interface UnplacedRequest {
   readonly ask: PlacementRequest;
   readonly count: number;
--- a/src/placement/urgency.ts
+++ b/src/placement/urgency.ts
@@ -11,6 +11,7 @@
 
 const RAW = { wait: 'wait', finished: 'finished' } as const;
 
+/** Reads the objectives of the settings, by class; those of unknown kind are left out. */
 export const readObjectives = (raw: readonly unknown[] | undefined): ReadonlyMap<string, Objectives> => {
   const classes = new Map<string, { wait: number[]; finished: number[] }>();
   for (const entry of raw ?? []) {
@@ -43,6 +44,7 @@
   return list;
 };
 
+/** Whether an ordinary machine is worth its price for work that may use spot machines. */
 export interface Urgency {
   /** Taking an ordinary machine that is up now saves a target that waiting would miss. */
   readonly place: boolean;
--- a/src/placement/worker-sessions.ts
+++ b/src/placement/worker-sessions.ts
@@ -8,6 +8,7 @@
 import { bindingKey, type Binding, type ShareMachine } from './state.js';
 import { onMachine } from './task.js';
 
+/** What the sessions with workers need of their share. */
 export interface WorkerSessionsInput {
   readonly shareState: ShareState;
   readonly claim: number;
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -18,6 +18,7 @@
 } from './records.js';
 import type { Chunk, ShareJob, ShareMachine } from './state.js';
 
+/** What the writer needs of its share. */
 export interface WriterInput {
   readonly store: Store;
   readonly slot: number;
--- a/src/router.ts
+++ b/src/router.ts
@@ -4,6 +4,7 @@
 import type { UsersApi } from './jobs/api.js';
 import type { ReportHandler } from './workers/report-handler.js';
 
+/** What requests on the API address are routed to. */
 export interface RouterInput {
   /** Does this node take users' requests at least as well as the others? */
   readonly ready: () => boolean;
--- a/src/service.ts
+++ b/src/service.ts
@@ -63,6 +63,7 @@
   readonly workerClient: DirectCommands;
 }
 
+/** A composed controller. */
 export interface Controller {
   /** Users, workers and health checks. */
   readonly route: (call: Call) => Promise<Reply>;
--- a/src/settings/limits.ts
+++ b/src/settings/limits.ts
@@ -8,6 +8,7 @@
   readonly txn_ops: number;
 }
 
+/** The limits that hold now and after the announced change. */
 export const lasting = (state: Settings['facts']['state']): StateLimits => {
   const next = state.next ?? {};
   return {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -58,11 +58,14 @@
   }),
 });
 
+/** The checked settings file. */
 export type Settings = typeof Settings.Type;
+/** A team of the settings. */
 export type Team = typeof Team.Type;
 
 const decode = Schema.decodeUnknownResult(Settings);
 
+/** The outcome of checking a settings file. */
 export type Checked =
   { readonly _tag: 'ok'; readonly settings: Settings } | { readonly _tag: 'bad'; readonly message: string };
 
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -22,10 +22,12 @@
   /** 0: the key does not exist. */
   readonly version: number;
 }
+/** A change of one key. */
 export type Write =
   | { readonly _tag: 'put'; readonly key: string; readonly value: unknown; readonly lease?: number }
   | { readonly _tag: 'delete'; readonly key: string };
 
+/** The outcome of a transaction. */
 export type TxnResult =
   | { readonly _tag: 'committed'; readonly revision: number }
   | { readonly _tag: 'conflict'; readonly failed: readonly string[] }
@@ -35,15 +37,18 @@
   /** May have been carried out, or may be later. */
   | { readonly _tag: 'unknown'; readonly why: string };
 
+/** A key with its value and the revision of its last change. */
 export interface Item {
   readonly key: string;
   readonly value: unknown;
   readonly version: number;
 }
+/** The outcome of reading a key. */
 export type GetResult =
   | { readonly _tag: 'found'; readonly item: Item }
   | { readonly _tag: 'absent' }
   | { readonly _tag: 'failed'; readonly why: string };
+/** The outcome of reading a page of keys. */
 export type ListResult =
   | {
       readonly _tag: 'page';
@@ -52,13 +57,16 @@
       readonly revision: number;
     }
   | { readonly _tag: 'failed'; readonly why: string };
+/** A change that a watch showed. */
 export type StoreEvent =
   | { readonly _tag: 'put'; readonly item: Item }
   | { readonly _tag: 'delete'; readonly key: string; readonly version: number };
+/** The outcome of one watch. */
 export type WatchResult =
   | { readonly _tag: 'events'; readonly events: readonly StoreEvent[]; readonly revision: number }
   | { readonly _tag: 'tooOld' }
   | { readonly _tag: 'failed'; readonly why: string };
+/** The outcome of asking for a lease or renewing it. */
 export type LeaseResult =
   | { readonly _tag: 'held'; readonly lease: number; readonly sentAt: number }
   | { readonly _tag: 'gone' }
@@ -72,6 +80,7 @@
 const item = (raw: RawItem): Item => ({ key: raw.path, value: raw.data, version: raw.brandMark });
 const why = (answer: Answer): string => (answer._tag === 'silence' ? answer.why : `status ${answer.status}`);
 
+/** Client for the state service, within this node's part of its rates. */
 export class Store {
   private readonly calls: Caller;
   private readonly watches: Caller;
--- a/src/store/rate-limiter.ts
+++ b/src/store/rate-limiter.ts
@@ -15,6 +15,7 @@
   readonly settle: (granted: boolean) => void;
 }
 
+/** Token bucket for one rate, with a queue by rank. */
 export class RateLimiter {
   private level: number;
   private at: number;
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -9,11 +9,16 @@
 
 /** Three composed controllers among the stand-ins, as processes that end and come back. */
 export const NODES = ['n0', 'n1', 'n2'] as const;
+/** ms of virtual time between two looks at the world. */
 export const STEP_MS = 20;
+/** ms: `cancel_s` of the stand-in deployment. */
 export const CANCEL_MS = 40_000;
+/** ms: the workers' lease of the stand-in deployment. */
 export const LEASE_MS = 15_000;
+/** ms: the workers' report interval of the stand-in deployment. */
 export const REPORT_MS = 3_000;
 
+/** The settings of one controller of the stand-in deployment. */
 export const settingsOf = (name: string, limits: ReadonlyMap<string, number>): Settings => ({
   host_name: name,
   area: 'x',
@@ -58,6 +63,7 @@
 });
 const answerOf = (reply: Reply): Answer => ({ _tag: 'answer', status: reply.status, body: reply.body ?? {} });
 
+/** Three controllers that can be stopped, started and upgraded. */
 export class Cluster {
   private readonly running = new Map<
     string,
@@ -128,10 +134,12 @@
   }
 }
 
+/** Lets promises and callbacks that are due run. */
 export const tick = async (): Promise<void> => {
   for (let k = 0; k < 6; k += 1) await new Promise((resolve) => setImmediate(resolve));
 };
 
+/** A job of the stand-in deployment. */
 export const jobOf = (n: number, over: Partial<Record<string, unknown>>, runMs: number): StandInJob => {
   const body: Record<string, unknown> = {
     uid: `job-${String(n).padStart(6, '0')}`,
--- a/src/testing/day.ts
+++ b/src/testing/day.ts
@@ -41,6 +41,7 @@
   ['blue', 16],
 ]);
 
+/** One day against the stand-ins. */
 export class Play {
   readonly luck: Luck;
   readonly world: World;
@@ -372,4 +373,5 @@
   }
 }
 
+/** Plays a day; returns the rules that were broken. */
 export const playDay = (day: Day): Promise<readonly string[]> => new Play(day).run();
--- a/src/testing/hunt.ts
+++ b/src/testing/hunt.ts
@@ -6,6 +6,7 @@
 import { TROUBLES } from './troubles.js';
 import { Luck } from './luck.js';
 
+/** A day with troubles drawn from a seed. */
 export const drawDay = (seed: number, wanted: readonly string[] = []): Day & { readonly names: string } => {
   const luck = new Luck(seed);
   const all = Object.keys(TROUBLES);
--- a/src/testing/luck.ts
+++ b/src/testing/luck.ts
@@ -1,5 +1,6 @@
 import * as prand from 'pure-rand';
 
+/** Random numbers from a seed. */
 export class Luck {
   private readonly generator: prand.RandomGenerator;
   constructor(seed: number) {
--- a/src/testing/state-stand-in.ts
+++ b/src/testing/state-stand-in.ts
@@ -1,11 +1,14 @@
 /** Stand-in for the state service, written to the published protocol: keys with revisions, leases, watches, transactions. */
 import type { Answer } from '../http.js';
 
+/** A map as it comes from the wire. */
 export type WireRecord = Record<string, unknown>;
+/** An answer of a stand-in. */
 export const reply = (status: number, body: unknown = {}): Answer => ({ _tag: 'answer', status, body });
 /** What crosses the network is a copy. */
 export const copy = <T>(value: T): T => structuredClone(value);
 
+/** The state service. */
 export class StateStandIn {
   private epoch = 0;
   private readonly data = new Map<string, { value: unknown; version: number; lease: number | null }>();
--- a/src/testing/worker-stand-in.ts
+++ b/src/testing/worker-stand-in.ts
@@ -2,6 +2,7 @@
 
 import { type WireRecord } from './state-stand-in.js';
 import type { World } from './world.js';
+/** A job with what its user knows of it. */
 export interface StandInJob {
   readonly body: WireRecord;
   readonly id: string;
@@ -22,6 +23,7 @@
   doneTold: boolean;
 }
 
+/** A task on a stand-in machine. */
 export interface OnMachine {
   readonly job: StandInJob;
   readonly index: number;
--- a/src/workers/codec.ts
+++ b/src/workers/codec.ts
@@ -80,6 +80,7 @@
   }
 };
 
+/** Reads a worker's report; null: malformed. */
 export const readReport = (value: unknown): Report | null => {
   if (!isHello(value)) return null;
   const hello = value;
@@ -102,6 +103,7 @@
   };
 };
 
+/** One command as the worker expects it. */
 export const writeCommand = (command: Command): unknown => {
   const head = taskName(command.job, command.index);
   switch (command._tag) {
@@ -114,6 +116,7 @@
   }
 };
 
+/** The answer to a report. */
 export const writeOrders = (token: number, commands: readonly Command[]): unknown => ({
   crook: token,
   calls: commands.map(writeCommand),
--- a/src/workers/model.ts
+++ b/src/workers/model.ts
@@ -1,6 +1,7 @@
 /** What workers say and are told, in the field's terms. */
 export type ExitCause = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'noRoom' | 'busy' | 'unknown';
 
+/** The state of a task as its worker reports it. */
 export type TaskState =
   | { readonly _tag: 'fetching' }
   | { readonly _tag: 'waiting' }
@@ -8,6 +9,7 @@
   | { readonly _tag: 'saving' }
   | { readonly _tag: 'exited'; readonly cause: ExitCause; readonly saved: boolean };
 
+/** One task of a report. */
 export interface ReportedTask {
   readonly job: string;
   readonly index: number;
@@ -15,6 +17,7 @@
   readonly state: TaskState;
 }
 
+/** A worker's report. */
 export interface Report {
   readonly machine: string;
   readonly addr: string;
@@ -29,6 +32,7 @@
   readonly tasks: readonly ReportedTask[];
 }
 
+/** A command to a worker. */
 export type Command =
   | { readonly _tag: 'run'; readonly job: string; readonly index: number; readonly attempt: number }
   | {
--- a/src/workers/report-handler.ts
+++ b/src/workers/report-handler.ts
@@ -25,6 +25,7 @@
   body: boss === undefined ? {} : { boss },
 });
 
+/** Answers reports of workers, or names the node that does. */
 export class ReportHandler {
   private readonly strays = new Map<string, { share: number; at: number }>();
   constructor(private readonly input: ReportHandlerInput) {}
