Idle machines are kept where a boot misses every start target of a class that uses them

Gangs there are to begin within 10 and 25 s, services within 1 s, so a machine rented for them is always late. Ruled out: capacity (a zone was full in 9 of 104 rentals).

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -189,6 +189,9 @@
 export const IDLE_KEPT_LONGER = 2;
 /** Nominal boot times for which the others are held: a lull of half a boot is no reason to let go. */
 export const IDLE_BOOTS_MANY = 0.5;
+/** Nominal boot times for which an idle ordinary machine is held where a boot misses every start target of a class that
+ *  runs on it: a machine rented anew is then late for certain, and has lost the images that this one still has. */
+export const IDLE_BOOTS_BOOT_BOUND = 10;
 /** ms: an answer to a worker waits this long at most for the placement that its report made possible; a
  *  worker waits 4 s, and its lease counts from when it sent the report. */
 export const ANSWER_WAIT_MS = 400;
--- /dev/null
+++ b/src/fleet/boot-bound-types.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Catalog, JobSpec } from '../jobs/model.js';
+import { readObjectives } from '../placement/urgency.js';
+import { jobSpec } from '../testing/bodies.js';
+import { BootBoundTypes } from './boot-bound-types.js';
+
+const machineType = { memoryGb: 256, cacheGb: 10, price: 4, spotPrice: 1, zones: ['x'] };
+const catalog: Catalog = new Map([
+  ['cpu', { ...machineType, name: 'cpu', cpus: 64, gpus: 0, bootS: 25 }],
+  ['gpu', { ...machineType, name: 'gpu', cpus: 96, gpus: 8, bootS: 30 }],
+]);
+const waits = (...seconds: readonly number[]): readonly unknown[] =>
+  seconds.map((within) => ({ kind: 'wait', class: 'c', within_s: within, share: 0.9 }));
+
+/**
+ * Guards that idle machines are kept where a boot is always too late: a park of machines that was up at the start was
+ * returned idle and rented again all day, without the images that it had had.
+ */
+const cases: readonly {
+  readonly name: string;
+  readonly objectives: readonly unknown[];
+  readonly spec: Partial<JobSpec>;
+  readonly types: readonly string[];
+}[] = [
+  {
+    name: 'every start target is sooner than any boot',
+    objectives: waits(1),
+    spec: {},
+    types: ['cpu', 'gpu'],
+  },
+  { name: 'the loosest target decides', objectives: waits(1, 28), spec: {}, types: ['gpu'] },
+  { name: 'a boot meets the loosest target', objectives: waits(10, 70), spec: {}, types: [] },
+  { name: 'only types that fit', objectives: waits(1), spec: { gpus: 8 }, types: ['gpu'] },
+  { name: 'only types that are allowed', objectives: waits(1), spec: { types: ['cpu'] }, types: ['cpu'] },
+  { name: 'work that may use spot machines', objectives: waits(1), spec: { spot: true }, types: [] },
+  { name: 'no start target', objectives: [], spec: {}, types: [] },
+];
+for (const row of cases) {
+  test(`boot-bound types: ${row.name}`, () => {
+    const types = new BootBoundTypes(() => catalog, readObjectives(row.objectives));
+    types.note(jobSpec('job-000001', row.spec));
+    assert.deepEqual(
+      [...catalog.keys()].filter((type) => types.has(type)),
+      row.types,
+    );
+  });
+}
--- /dev/null
+++ b/src/placement/machine-liveness.test.ts
@@ -0,0 +1,59 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { MachineType } from '../jobs/model.js';
+import { MachineLiveness } from './machine-liveness.js';
+import { ShareState } from './share-state.js';
+
+const NOW = 10_000_000;
+const BOOT_S = 30;
+const machineType: MachineType = {
+  name: 'g',
+  cpus: 8,
+  gpus: 8,
+  memoryGb: 8,
+  cacheGb: 10,
+  price: 1,
+  spotPrice: 1,
+  bootS: BOOT_S,
+  zones: ['x'],
+};
+
+/** An idle machine is kept for as long as a boot would cost more than it saves; guards against renting it anew at once. */
+const cases: readonly {
+  readonly name: string;
+  readonly bootBound: boolean;
+  readonly spot: boolean;
+  readonly idleBoots: number;
+  readonly kept: boolean;
+}[] = [
+  { name: 'idle for less than a boot', bootBound: false, spot: false, idleBoots: 1.4, kept: true },
+  { name: 'idle for longer than a boot', bootBound: false, spot: false, idleBoots: 1.6, kept: false },
+  { name: 'a boot misses every target', bootBound: true, spot: false, idleBoots: 9, kept: true },
+  { name: 'not for ever', bootBound: true, spot: false, idleBoots: 11, kept: false },
+  { name: 'a spot machine', bootBound: true, spot: true, idleBoots: 1.6, kept: false },
+];
+for (const row of cases) {
+  test(`idle machines: ${row.name}`, () => {
+    const shareState = new ShareState({ now: () => NOW, wall: () => NOW, poke: () => undefined });
+    const liveness = new MachineLiveness({
+      machines: shareState.machines,
+      catalog: () => new Map([['g', machineType]]),
+      workers: { lease_s: 18, report_s: 3, cancel_s: 48 },
+      bootBound: () => row.bootBound,
+      now: () => NOW,
+      wall: () => NOW,
+    });
+    liveness.loadedAt = 0;
+    const machine = shareState.addMachine(
+      'm-0',
+      { share: 0, type: 'g', zone: 'x', spot: row.spot, at: 0, releasing: false, addr: 'a:1', session: 1 },
+      1,
+      machineType,
+    );
+    machine.answeredAt = NOW;
+    machine.confirmedToken = 1;
+    machine.idleSince = NOW - row.idleBoots * BOOT_S * 1000;
+    const released = liveness.toRelease(true).map(({ why }) => why);
+    assert.deepEqual(released, row.kept ? [] : ['idle']);
+  });
+}
--- a/src/placement/machine-liveness.ts
+++ b/src/placement/machine-liveness.ts
@@ -9,6 +9,7 @@
   IDLE_KEPT_LONGER,
   IDLE_BOOTS,
   IDLE_BOOTS_MANY,
+  IDLE_BOOTS_BOOT_BOUND,
   IDLE_RETURN_S,
   LEASE_MARGIN_MS,
   REBUILD_REPORTS,
@@ -24,6 +25,8 @@
   readonly machines: ReadonlyMap<string, ShareMachine>;
   readonly catalog: () => Catalog | null;
   readonly workers: { readonly lease_s: number; readonly report_s: number; readonly cancel_s: number };
+  /** Some class misses every start target if a machine of this type has to be booted for it. */
+  readonly bootBound: (type: string) => boolean;
   readonly now: () => number;
   readonly wall: () => number;
 }
@@ -129,6 +132,17 @@
     return [...late];
   }
 
+  /** ms: how long an idle machine is kept; `rank` counts the machines of its kind that have been idle for longer. */
+  private idleHoldMs(machine: ShareMachine, rank: number): number {
+    const boots =
+      !machine.spot && this.input.bootBound(machine.type)
+        ? IDLE_BOOTS_BOOT_BOUND
+        : rank < IDLE_KEPT_LONGER
+          ? IDLE_BOOTS
+          : IDLE_BOOTS_MANY;
+    return Math.max(IDLE_RETURN_S, this.bootS(machine, 0) * boots) * 1000;
+  }
+
   /** Machines to be released now, each with the reason. Looks at each machine once. */
   toRelease(placing: boolean): readonly { readonly machine: ShareMachine; readonly why: string }[] {
     const now = this.input.now();
@@ -183,9 +197,8 @@
     for (const group of idle.values()) {
       group.sort((a, b) => (b.idleSince ?? 0) - (a.idleSince ?? 0));
       group.forEach((machine, rank) => {
-        const boots = rank < IDLE_KEPT_LONGER ? IDLE_BOOTS : IDLE_BOOTS_MANY;
-        const holdMs = Math.max(IDLE_RETURN_S, this.bootS(machine, 0) * boots) * 1000;
-        if (now - (machine.idleSince ?? now) > holdMs) list.push({ machine, why: 'idle' });
+        if (now - (machine.idleSince ?? now) > this.idleHoldMs(machine, rank))
+          list.push({ machine, why: 'idle' });
       });
     }
     return list;
--- a/src/placement/placement-view.test.ts
+++ b/src/placement/placement-view.test.ts
@@ -115,6 +115,7 @@
     const index = new PipelineIndex(STAGE_MS);
     const shareState = new ShareState({ now: () => NOW, wall: () => NOW, poke: () => undefined });
     const liveness = new MachineLiveness({
+      bootBound: () => false,
       machines: shareState.machines,
       catalog: () => new Map(),
       workers: { lease_s: 18, report_s: 3, cancel_s: 48 },
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -33,6 +33,8 @@
   readonly catalog: () => Catalog | null;
   /** Some job of any share that may not use spot machines fits no other type. */
   readonly scarce: (type: string) => boolean;
+  /** Some class misses every start target if a machine of this type has to be booted for it. */
+  readonly bootBound: (type: string) => boolean;
   readonly shareOfTeam: ReadonlyMap<string, number>;
   readonly limits: ReadonlyMap<string, Limit>;
   readonly guarantees: ReadonlyMap<string, Usage>;
@@ -103,6 +105,7 @@
       machines: this.shareState.machines,
       catalog: input.catalog,
       workers: input.workers,
+      bootBound: input.bootBound,
       now: input.now,
       wall: input.wall,
     });
--- a/src/placement/worker-sessions.test.ts
+++ b/src/placement/worker-sessions.test.ts
@@ -48,6 +48,7 @@
   now = 1_000_000;
   readonly shareState = new ShareState({ now: () => this.now, wall: () => this.now, poke: () => undefined });
   readonly liveness = new MachineLiveness({
+    bootBound: () => false,
     machines: this.shareState.machines,
     catalog: () => new Map([['g', type]]),
     workers: { lease_s: LEASE_S, report_s: 5, cancel_s: 2 * LEASE_S },
--- a/src/service.ts
+++ b/src/service.ts
@@ -22,6 +22,7 @@
 } from './constants.js';
 import { Cloud } from './fleet/cloud.js';
 import { readStored, toCatalog } from './fleet/catalog.js';
+import { BootBoundTypes } from './fleet/boot-bound-types.js';
 import { ScarceTypes } from './fleet/scarce-types.js';
 import { Leader } from './fleet/leader.js';
 import type { Reservation, Move, Summary } from './fleet/records.js';
@@ -334,12 +335,14 @@
   });
 
   const scarceTypes = new ScarceTypes(catalog);
+  const bootBoundTypes = new BootBoundTypes(catalog, objectives);
 
   const shareInput = (slot: number, claim: number): ShareInput => ({
     store,
     cache: cache,
     catalog,
     scarce: (type) => scarceTypes.has(type),
+    bootBound: (type) => bootBoundTypes.has(type),
     shareOfTeam,
     limits,
     guarantees,
@@ -429,6 +432,7 @@
     if (event._tag === 'put' && key.startsWith('w/j/')) {
       const record = readJobRecord(event.item.value);
       scarceTypes.note(record.spec);
+      bootBoundTypes.note(record.spec);
       pipelines.onJob(id, record, followsOf(record));
       if (record.cancelled)
         durableAcknowledgements.saw(shareOfTeam.get(record.spec.team) ?? 0, event.item.version);
--- a/src/testing/bodies.ts
+++ b/src/testing/bodies.ts
@@ -1,3 +1,5 @@
+import type { JobSpec } from '../jobs/model.js';
+
 /** A submission as users send it; what a test is about goes over it. */
 export const submission = (over: object): Record<string, unknown> => ({
   uid: 'job-9',
@@ -22,3 +24,28 @@
   dueS: null,
   ...over,
 });
+
+/** A small service of one class, as it is known inside a controller; what a test is about goes over it. */
+export const jobSpec = (id: string, over: Partial<JobSpec> = {}): JobSpec => ({
+  id,
+  klass: 'c',
+  team: 'red',
+  kind: 'service',
+  priority: 3,
+  tasks: 2,
+  cpus: 4,
+  gpus: 0,
+  memoryGb: 9,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  image: 'img',
+  imageGb: 1,
+  estimateS: 0,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  ...over,
+});
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -65,6 +65,7 @@
   const now = 1_000_000;
   const shareState = new ShareState({ now: () => now, wall: () => now, poke: () => undefined });
   const liveness = new MachineLiveness({
+    bootBound: () => false,
     machines: shareState.machines,
     catalog: () => catalog,
     workers: { lease_s: 24, report_s: 5, cancel_s: 45 },
