--- a/src/constants.ts
+++ b/src/constants.ts
@@ -189,6 +189,8 @@
 export const IDLE_KEPT_LONGER = 2;
 /** Nominal boot times for which the others are held: a lull of half a boot is no reason to let go. */
 export const IDLE_BOOTS_MANY = 0.5;
+/** Factor: a boot that takes so many times as long as a class's loosest start target can't serve that class at all. */
+export const BOOT_BOUND_FACTOR = 4;
 /** Nominal boot times for which an idle ordinary machine is held where a boot misses every start target of a class that
  *  runs on it: a machine rented anew is then late for certain, and has lost the images that this one still has. */
 export const IDLE_BOOTS_BOOT_BOUND = 10;
@@ -313,6 +315,9 @@
  *  twice a watch); what the
  *  copy may not show of a cancellation stays far below `cancel_s`. */
 export const CACHE_FRESH_MS = 10_000;
+/** bytes: room for the names of images in a machine's record. More than a machine uses in turn, and a batch of such records
+ *  still fits in one transaction. */
+export const IMAGES_RECORD_BYTES = 512;
 /** Fraction of the value size that a record's estimated size may take: escapes and longer names have their room. */
 export const VALUE_FILL = 0.85;
 /** ms: a part of the service that failed by a defect is started again after this, so that one that fails at once does not
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -11,6 +11,8 @@
   /** Where its worker was last heard, for the next holder; empty: not known. */
   readonly addr: string;
   readonly session: number;
+  /** Images that it has, most recently used last; for the share that it moves to. */
+  readonly images?: readonly string[];
 }
 
 /** Writes a machine record as it is stored. */
@@ -22,6 +24,7 @@
   t: record.at,
   r: record.releasing,
   ...(record.addr === '' ? {} : { a: record.addr, n: record.session }),
+  ...(record.images && record.images.length > 0 ? { i: record.images } : {}),
 });
 
 /** Reads a stored machine record. */
@@ -35,6 +38,7 @@
     r: boolean;
     a?: string;
     n?: number;
+    i?: string[];
   };
   return {
     share: raw.s,
@@ -45,6 +49,7 @@
     releasing: raw.r,
     addr: raw.a ?? '',
     session: raw.n ?? 0,
+    ...(raw.i ? { images: raw.i } : {}),
   };
 };
 
--- a/src/layout.test.ts
+++ b/src/layout.test.ts
@@ -159,6 +159,14 @@
     means: { ...machine, spot: false, releasing: false, addr: '', session: 0 },
     written: writeMachineRecord({ ...machine, spot: false, releasing: false, addr: '', session: 0 }),
   },
+  {
+    name: 'a machine with images, which earlier versions ignore',
+    version: '55b30b1',
+    text: '{"s":1,"b":"g","z":"x","p":true,"t":5,"r":true,"a":"10.1.0.1:9000","n":3,"i":["img-1","img-2"]}',
+    read: readMachineRecord,
+    means: { ...machine, images: ['img-1', 'img-2'] },
+    written: writeMachineRecord({ ...machine, images: ['img-1', 'img-2'] }),
+  },
 ];
 for (const { name, version, text, read, means, written } of fixtures) {
   test(`layout: ${name}, as ${version} stored it`, () => {
--- a/src/placement/share-state.ts
+++ b/src/placement/share-state.ts
@@ -65,7 +65,7 @@
       reported: [],
       forgetFrom: null,
       bound: new Map(),
-      images: new Set(),
+      images: new Set(record.images),
       health: { _tag: 'fine' },
       idleSince: null,
       total,
@@ -114,6 +114,13 @@
         writing: 0,
       };
       this.jobs.set(record.spec.id, job);
+      log.debug({
+        event: 'job.known',
+        job: record.spec.id,
+        class: record.spec.klass,
+        tasks: record.spec.tasks,
+        ageMs: this.input.wall() - record.at,
+      });
     }
     // The news of a change may come after a message about a later one.
     if (version < job.version) return job;
@@ -246,7 +253,7 @@
     const job = this.jobs.get(binding.job);
     if (binding.phase._tag === 'running' && binding.runningAt === null) {
       binding.runningAt = this.input.now();
-      if (job) this.machines.get(binding.machine)?.images.add(job.spec.image);
+      if (job) this.noteImage(binding.machine, job.spec.image);
     }
     log.debug({
       event: 'task.change',
@@ -260,6 +267,13 @@
     if (binding.phase._tag === 'gone') this.onGone(binding, binding.phase.how, job);
   }
 
+  /** The machine has the image, and used it last. */
+  private noteImage(id: string, image: string): void {
+    const images = this.machines.get(id)?.images;
+    images?.delete(image);
+    images?.add(image);
+  }
+
   private onGone(binding: Binding, how: Gone, job: ShareJob | undefined): void {
     const machine = this.machines.get(binding.machine);
     if (machine) {
--- /dev/null
+++ b/src/placement/writer.test.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { recentImages } from './writer.js';
+
+/**
+ * Guards that a machine's images are still known after it moved to another share: gangs were placed on machines without
+ * their image, and each fetch took longer than their start target. The names are bounded, or a batch of records
+ * would be refused for its size for ever.
+ */
+const cases: readonly {
+  readonly name: string;
+  readonly images: readonly string[];
+  readonly room: number;
+  readonly recorded: readonly string[];
+}[] = [
+  { name: 'none', images: [], room: 100, recorded: [] },
+  { name: 'all in the order of their use', images: ['a', 'b', 'c'], room: 100, recorded: ['a', 'b', 'c'] },
+  { name: 'the last used where not all fit', images: ['a', 'b', 'c'], room: 8, recorded: ['b', 'c'] },
+  { name: 'one that does not fit at all', images: ['x'.repeat(256)], room: 100, recorded: [] },
+];
+for (const row of cases) {
+  test(`images of a machine record: ${row.name}`, () => {
+    assert.deepEqual(recentImages(new Set(row.images), row.room), row.recorded);
+  });
+}
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -1,5 +1,5 @@
 import * as Effect from 'effect/Effect';
-import { COMMITS_AT_ONCE, STORE_RETRY_MS, TXN_BYTES, VALUE_FILL } from '../constants.js';
+import { COMMITS_AT_ONCE, IMAGES_RECORD_BYTES, STORE_RETRY_MS, TXN_BYTES, VALUE_FILL } from '../constants.js';
 import { writeMachineRecord } from '../fleet/records.js';
 import { writeFinalRecord } from '../jobs/codec.js';
 import type { FinalRecord, FinalState } from '../jobs/model.js';
@@ -47,6 +47,18 @@
   readonly stored: StoredRun;
 }
 
+/** The most recently used images of a machine, as many as its record has room for beside the rest. */
+export const recentImages = (images: ReadonlySet<string>, room: number): readonly string[] => {
+  const recent: string[] = [];
+  let bytes = 0;
+  for (const image of [...images].reverse()) {
+    bytes += JSON.stringify(image).length + 1;
+    if (bytes > room) break;
+    recent.unshift(image);
+  }
+  return recent;
+};
+
 /** Guess of a run record's size on the wire: a binding is an index, a machine's name and an attempt. */
 export const sizeOf = (record: RunRecord): number => 120 + record.bindings.length * 40;
 
@@ -341,6 +353,7 @@
     if (!first) return true;
     const sent = machines.map((entry) => ({ ...entry, version: entry.machine.version }));
     for (const { machine } of sent) machine.releasing = true;
+    const imageBytes = Math.min(IMAGES_RECORD_BYTES, this.input.valueBytes / 4, TXN_BYTES / 2 / sent.length);
     const result = await this.surely(
       sent.map(({ machine, version }) => ({ key: machineKey(machine.id), version })),
       sent.map(({ machine, share, releasing }) => ({
@@ -355,6 +368,7 @@
           releasing,
           addr: machine.addr,
           session: machine.session,
+          images: recentImages(machine.images, imageBytes),
         }),
       })),
       machineKey(first.machine.id),
