Small work goes beside gangs that need whole machines, not in their place

Cause: where GPU gangs fit only one type, work that may use spot machines never went there, not even into the 10 CPUs that a gang leaves over, while services took whole GPU machines. What is over beside such work is counted now; other work goes there at once, and to a whole one only if it may not use spot machines and finds no room otherwise. Machines are kept now only where a boot takes four times as long as the loosest start target.

--- a/src/fleet/boot-bound-types.ts
+++ b/src/fleet/boot-bound-types.ts
@@ -1,9 +1,11 @@
+import { BOOT_BOUND_FACTOR } from '../constants.js';
 import { fitsIn, typeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
 import type { Objectives } from '../placement/urgency.js';
 
 /**
- * Machine types whose boot takes longer than every start target of some class that runs on them. For such a class a
- * machine that has to be rented first is always too late, so idle machines of the type are worth keeping.
+ * Machine types whose boot takes many times as long as the loosest start target of some class that runs on them. Only a
+ * machine that is up already can serve such a class, so idle ones of the type are kept. Where target and boot are alike,
+ * machines in use come free about as fast as a new one boots, and keeping idle ones costs more than it saves.
  */
 export class BootBoundTypes {
   private readonly types = new Set<string>();
@@ -19,7 +21,7 @@
     const loosestS = this.objectives.get(spec.klass)?.wait.at(-1);
     if (!catalog || loosestS === undefined || spec.spot) return;
     for (const type of catalog.values()) {
-      if (type.bootS > loosestS && typeAllowed(spec, type.name) && fitsIn(spec, type))
+      if (type.bootS > loosestS * BOOT_BOUND_FACTOR && typeAllowed(spec, type.name) && fitsIn(spec, type))
         this.types.add(type.name);
     }
   }
--- a/src/fleet/scarce-types.ts
+++ b/src/fleet/scarce-types.ts
@@ -1,8 +1,9 @@
-import { fitsIn, typeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
+import { fitsIn, fittingTypes, type Catalog, type Demand, type JobSpec } from '../jobs/model.js';
 
 /** Machine types without an alternative for some job seen since this process began; jobs on spot machines don't count. */
 export class ScarceTypes {
-  private readonly types = new Set<string>();
+  /** The most that one task of such jobs takes, by type. */
+  private readonly types = new Map<string, Demand>();
 
   constructor(private readonly catalog: () => Catalog | null) {}
 
@@ -10,11 +11,19 @@
   note(spec: JobSpec): void {
     const catalog = this.catalog();
     if (!catalog || spec.spot) return;
-    const fits = [...catalog.values()].filter((type) => typeAllowed(spec, type.name) && fitsIn(spec, type));
-    if (fits.length === 1 && fits[0]) this.types.add(fits[0].name);
+    const [only, other] = fittingTypes(spec, catalog);
+    if (!only || other) return;
+    const known = this.types.get(only.name);
+    if (known && fitsIn(spec, known)) return;
+    this.types.set(only.name, {
+      cpus: Math.max(spec.cpus, known?.cpus ?? 0),
+      gpus: Math.max(spec.gpus, known?.gpus ?? 0),
+      memoryGb: Math.max(spec.memoryGb, known?.memoryGb ?? 0),
+    });
   }
 
-  has(type: string): boolean {
-    return this.types.has(type);
+  /** What one task of the work that needs this type may take; null: all work has other types to go to. */
+  demand(type: string): Demand | null {
+    return this.types.get(type) ?? null;
   }
 }
--- a/src/jobs/model.ts
+++ b/src/jobs/model.ts
@@ -101,3 +101,11 @@
   typeAllowed(spec, place.type) &&
   (spec.zone === null || spec.zone === place.zone) &&
   (spec.spot || !place.spot);
+
+/** The machine types that one task of the job fits and that the job allows. */
+export const fittingTypes = (spec: JobSpec, catalog: Catalog): readonly MachineType[] =>
+  [...catalog.values()].filter((type) => typeAllowed(spec, type.name) && fitsIn(spec, type));
+
+/** Has the job other machines to go to than ordinary ones of a single type? */
+export const hasAlternatives = (spec: JobSpec, catalog: Catalog): boolean =>
+  spec.spot || fittingTypes(spec, catalog).length > 1;
--- /dev/null
+++ b/src/placement/beside.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Catalog, JobSpec } from '../jobs/model.js';
+import { jobSpec } from '../testing/bodies.js';
+import { MachineLiveness } from './machine-liveness.js';
+import { availableCapacity } from './placement-view.js';
+import { ShareState } from './share-state.js';
+
+const NOW = 1_000_000;
+const common = { cacheGb: 10, price: 4, spotPrice: 1, bootS: 30, zones: ['x'] };
+const gpu = { ...common, name: 'gpu', cpus: 96, gpus: 8, memoryGb: 768 };
+const catalog: Catalog = new Map([
+  ['cpu', { ...common, name: 'cpu', cpus: 64, gpus: 0, memoryGb: 256 }],
+  ['gpu', gpu],
+]);
+const training: Partial<JobSpec> = { kind: 'gang', tasks: 1, cpus: 86, gpus: 8, memoryGb: 610 };
+const small: Partial<JobSpec> = { kind: 'service', tasks: 1, cpus: 4, gpus: 0, memoryGb: 9 };
+
+/** Guards the gangs that need a whole GPU machine: whatever is put beside one must leave room for the next. */
+const cases: readonly {
+  readonly name: string;
+  readonly running: readonly Partial<JobSpec>[];
+  readonly beside: readonly [cpus: number, gpus: number, memoryGb: number];
+}[] = [
+  { name: 'nothing on an empty machine: it may move to another share', running: [], beside: [0, 0, 0] },
+  { name: 'what a gang leaves over', running: [training], beside: [10, 0, 158] },
+  { name: 'less what is beside it already', running: [training, small], beside: [6, 0, 149] },
+  { name: 'nothing once the gang has ended', running: [small], beside: [0, 0, 0] },
+];
+for (const row of cases) {
+  test(`room beside: ${row.name}`, () => {
+    const shareState = new ShareState({ now: () => NOW, wall: () => NOW, poke: () => undefined });
+    const liveness = new MachineLiveness({
+      machines: shareState.machines,
+      catalog: () => catalog,
+      workers: { lease_s: 18, report_s: 3, cancel_s: 48 },
+      bootBound: () => false,
+      now: () => NOW,
+      wall: () => NOW,
+    });
+    const machine = shareState.addMachine(
+      'm-0',
+      { share: 0, type: 'gpu', zone: 'x', spot: false, at: 0, releasing: false, addr: 'a:1', session: 1 },
+      1,
+      gpu,
+    );
+    machine.answeredAt = NOW;
+    machine.confirmedToken = 1;
+    row.running.forEach((over, index) => {
+      const spec = jobSpec(`job-${index}`, over);
+      const job = shareState.adoptJob(
+        { spec, at: 0, cancelled: false, cancelledAt: null, follows: [], parts: 0 },
+        1,
+      );
+      shareState.bind(job, 0, 1, machine, { _tag: 'running' });
+    });
+    const [room] = availableCapacity({
+      shareState,
+      liveness,
+      catalog,
+      scarceDemand: (type) => (type === 'gpu' ? { cpus: 86, gpus: 8, memoryGb: 610 } : null),
+      guarantees: new Map(),
+      objectives: new Map(),
+      holds: [],
+      now: NOW,
+      wall: NOW,
+    });
+    assert.deepEqual([room?.beside.cpus, room?.beside.gpus, room?.beside.memoryGb], row.beside);
+  });
+}
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -46,6 +46,7 @@
     tier: 0,
     urgency: { place: false, rent: false },
     ordinary: true,
+    hasAlternatives: made.spot,
     gathering: false,
     ...rest,
   };
@@ -62,6 +63,7 @@
   spot: false,
   total: { cpus: 64, gpus: 8, memoryGb: 64 },
   free: { cpus: freeGpus * 8, gpus: freeGpus, memoryGb: freeGpus * 8 },
+  beside: { cpus: 0, gpus: 0, memoryGb: 0 },
   images: new Set(),
   live: true,
   kept: 'no',
@@ -139,6 +141,35 @@
     rooms: [room('a', 'x', 8, { kept: 'always' }), room('b', 'x', 2, { spot: true })],
     puts: ['job-1/0@b', 'job-1/1@b'],
   },
+  // CPU work stood on GPU machines that gangs need whole, or left what was over beside the gangs unused.
+  {
+    name: 'beside work that has no other type, spot work takes what is over at once',
+    asks: [ask({ tasks: 3, spot: true }, { ordinary: false })],
+    rooms: [room('a', 'x', 8, { kept: 'always', beside: { cpus: 16, gpus: 2, memoryGb: 16 } })],
+    puts: ['job-1/0@a', 'job-1/1@a'],
+  },
+  {
+    name: 'and other work with alternatives goes there before it takes machines that are kept',
+    asks: [ask({ tasks: 2 }, { hasAlternatives: true })],
+    rooms: [
+      room('a', 'x', 8, { kept: 'always' }),
+      room('b', 'x', 8, { kept: 'always', beside: { cpus: 8, gpus: 1, memoryGb: 8 } }),
+      room('c', 'x', 1),
+    ],
+    puts: ['job-1/0@c', 'job-1/1@b'],
+  },
+  {
+    name: 'but takes them where it finds no room otherwise',
+    asks: [ask({ tasks: 2 }, { hasAlternatives: true })],
+    rooms: [room('a', 'x', 8, { kept: 'always' }), room('c', 'x', 1)],
+    puts: ['job-1/0@c', 'job-1/1@a'],
+  },
+  {
+    name: 'work that has no other type takes all that is free',
+    asks: [ask({ tasks: 2 })],
+    rooms: [room('a', 'x', 8, { kept: 'always' })],
+    puts: ['job-1/0@a', 'job-1/1@a'],
+  },
   {
     name: 'the limit counts what is used already',
     asks: [ask({ tasks: 5 })],
--- a/src/placement/pack.ts
+++ b/src/placement/pack.ts
@@ -9,6 +9,8 @@
   readonly spot: boolean;
   readonly total: Demand;
   readonly free: { cpus: number; gpus: number; memoryGb: number };
+  /** Of a machine that is always kept for others: what is over beside them. */
+  readonly beside: { cpus: number; gpus: number; memoryGb: number };
   readonly images: ReadonlySet<string>;
   /** False: still booting, or not heard from yet; counts for planning, takes no tasks. */
   readonly live: boolean;
@@ -36,6 +38,8 @@
   readonly urgency: Urgency;
   /** Work that may use spot machines may take room on ordinary ones now. */
   readonly ordinary: boolean;
+  /** It has other machines to go to than ordinary ones of a single type. */
+  readonly hasAlternatives: boolean;
   /** Machines are being gathered for it: it goes first within its priority. */
   readonly gathering: boolean;
 }
@@ -114,12 +118,34 @@
   return Math.max(0, count);
 };
 
-const take = (room: AvailableCapacity, need: Demand, count: number): void => {
-  room.free.cpus -= need.cpus * count;
-  room.free.gpus -= need.gpus * count;
-  room.free.memoryGb -= need.memoryGb * count;
+const subtract = (
+  from: { cpus: number; gpus: number; memoryGb: number },
+  need: Demand,
+  count: number,
+): void => {
+  from.cpus -= need.cpus * count;
+  from.gpus -= need.gpus * count;
+  from.memoryGb -= need.memoryGb * count;
+};
+
+const take = (room: AvailableCapacity, ask: PlacementRequest, count: number): void => {
+  subtract(room.free, ask.spec, count);
+  if (ask.hasAlternatives) subtract(room.beside, ask.spec, count);
 };
 
+/**
+ * How far work with alternatives may go on machines that are kept for work without: beside that work, or over all
+ * that is free where it finds no room otherwise.
+ */
+type Reach = 'beside' | 'all';
+
+const limitedToBeside = (ask: PlacementRequest, room: AvailableCapacity, reach: Reach): boolean =>
+  reach === 'beside' && room.kept === 'always' && ask.hasAlternatives;
+
+/** What the request may take of a machine. */
+const roomFor = (ask: PlacementRequest, room: AvailableCapacity, reach: Reach): Demand =>
+  limitedToBeside(ask, room, reach) ? room.beside : room.free;
+
 /** MostAllocated: the mean share in use over CPUs, memory and GPUs (where there are any). */
 export const fullness = (rooms: readonly AvailableCapacity[]): number => {
   let sum = 0;
@@ -156,14 +182,14 @@
     .map((entry) => entry.room);
 
 const heldBack = (ask: PlacementRequest, room: AvailableCapacity): boolean => {
-  if (!ask.ordinary) return true;
   switch (room.kept) {
     case 'no':
-      return false;
+      return !ask.ordinary;
     case 'reserve':
-      return !ask.urgency.place;
+      return !ask.ordinary || !ask.urgency.place;
     case 'always':
-      return true;
+      // What is over beside others costs nothing, and is no use to them.
+      return false;
   }
 };
 
@@ -177,11 +203,15 @@
   ask.spec.priority <= room.held.priority &&
   (room.empty || (ask.spec.spot && !room.spot));
 
-const usable = (ask: PlacementRequest, rooms: readonly AvailableCapacity[]): readonly AvailableCapacity[] =>
+const usable = (
+  ask: PlacementRequest,
+  rooms: readonly AvailableCapacity[],
+  reach: Reach,
+): readonly AvailableCapacity[] =>
   rooms.filter(
     (room) =>
       // Most rooms are full, so this comes first.
-      fitsIn(ask.spec, room.free) &&
+      fitsIn(ask.spec, roomFor(ask, room, reach)) &&
       !gathered(ask, room) &&
       placeAllowed(ask.spec, room) &&
       !(ask.spec.spot && !room.spot && heldBack(ask, room)) &&
@@ -193,6 +223,7 @@
   rooms: readonly AvailableCapacity[],
   count: number,
   zoneCap: number,
+  reach: Reach,
 ): { room: AvailableCapacity; count: number }[] => {
   const chosen: { room: AvailableCapacity; count: number }[] = [];
   const inZone = new Map(ask.inZones);
@@ -200,7 +231,7 @@
   for (const room of rank(rooms, ask.spec)) {
     if (left <= 0) break;
     const used = inZone.get(room.zone) ?? 0;
-    const here = Math.min(howMany(ask.spec, room.free, left), zoneCap - used);
+    const here = Math.min(howMany(ask.spec, roomFor(ask, room, reach), left), zoneCap - used);
     if (here <= 0) continue;
     chosen.push({ room, count: here });
     inZone.set(room.zone, used + here);
@@ -227,37 +258,53 @@
   return zones;
 };
 
-/** Places one request: the whole gang or nothing, of other jobs as many tasks as fit. */
-export const packOne = (
+/** Tasks put on machines that the request may use together. */
+interface Candidate {
+  readonly score: number;
+  readonly count: number;
+  readonly chosen: readonly { readonly room: AvailableCapacity; readonly count: number }[];
+}
+
+/** The candidate that holds most of the tasks wanted, and of those the fullest. */
+const bestCandidate = (
   ask: PlacementRequest,
   rooms: readonly AvailableCapacity[],
-  mostTasks: number,
-): readonly Assignment[] => {
-  const want = Math.min(ask.waiting.length, mostTasks);
+  want: number,
+  reach: Reach,
+): Candidate | null => {
   const gang = ask.spec.kind === 'gang';
-  if (want <= 0 || (gang && want < ask.spec.tasks)) return [];
   const zoneCap = ask.spec.spread ? Math.ceil(ask.spec.tasks / 2) : Number.POSITIVE_INFINITY;
-  const fits = usable(ask, rooms);
-  let best: {
-    score: number;
-    count: number;
-    zone: string;
-    chosen: { room: AvailableCapacity; count: number }[];
-  } | null = null;
+  const fits = usable(ask, rooms, reach);
+  let best: Candidate | null = null;
   for (const [zone, candidates] of [...zonesOf(ask, fits)].sort(([a], [b]) => (a < b ? -1 : 1))) {
-    const chosen = fill(ask, candidates, want, zoneCap);
+    const chosen = fill(ask, candidates, want, zoneCap, reach);
     const count = chosen.reduce((sum, entry) => sum + entry.count, 0);
     if (count === 0 || (gang && count < ask.spec.tasks)) continue;
     const score = fullness(zone === '' ? candidates : rooms.filter((room) => room.zone === zone));
     if (!best || count > best.count || (count === best.count && score > best.score + EPS)) {
-      best = { score, count, zone, chosen };
+      best = { score, count, chosen };
     }
   }
+  return best;
+};
+
+/** Places one request: the whole gang or nothing, of other jobs as many tasks as fit. */
+export const packOne = (
+  ask: PlacementRequest,
+  rooms: readonly AvailableCapacity[],
+  mostTasks: number,
+): readonly Assignment[] => {
+  const want = Math.min(ask.waiting.length, mostTasks);
+  if (want <= 0 || (ask.spec.kind === 'gang' && want < ask.spec.tasks)) return [];
+  let best = bestCandidate(ask, rooms, want, 'beside');
+  // Work that may use spot machines never takes more than is over.
+  if ((best?.count ?? 0) < want && ask.hasAlternatives && !ask.spec.spot)
+    best = bestCandidate(ask, rooms, want, 'all');
   if (!best) return [];
   const puts: Assignment[] = [];
   let next = 0;
   for (const { room, count } of best.chosen) {
-    take(room, ask.spec, count);
+    take(room, ask, count);
     for (let k = 0; k < count; k += 1) {
       const index = ask.waiting[next];
       next += 1;
--- a/src/placement/placement-view.ts
+++ b/src/placement/placement-view.ts
@@ -4,10 +4,19 @@
   ORDINARY_AFTER_GUARANTEED_S,
   ORDINARY_AFTER_S,
   RESERVED_IDLE,
+  TASKS_MAX,
 } from '../constants.js';
 import { heldBy } from '../fleet/plan.js';
 import type { Reservation } from '../fleet/records.js';
-import { fitsIn, typeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
+import {
+  fitsIn,
+  hasAlternatives,
+  howMany,
+  typeAllowed,
+  type Catalog,
+  type Demand,
+  type JobSpec,
+} from '../jobs/model.js';
 import type { ShareState } from './share-state.js';
 import type { MachineLiveness } from './machine-liveness.js';
 import { order, type PlacementRequest, type AvailableCapacity, type Usage } from './pack.js';
@@ -19,7 +28,8 @@
   readonly shareState: ShareState;
   readonly liveness: MachineLiveness;
   readonly catalog: Catalog;
-  readonly scarce: (type: string) => boolean;
+  /** The most that one task takes of work that can't do without ordinary machines of this type; null: there is none. */
+  readonly scarceDemand: (type: string) => Demand | null;
   readonly guarantees: ReadonlyMap<string, Usage>;
   readonly objectives: ReadonlyMap<string, Objectives>;
   readonly holds: readonly Reservation[];
@@ -27,6 +37,8 @@
   readonly wall: number;
 }
 
+const NOTHING: Demand = { cpus: 0, gpus: 0, memoryGb: 0 };
+
 /** What each team has on machines: everything bound, which includes whatever is not proven gone. */
 export const teamUsage = (shareState: ShareState): Map<string, Usage> => {
   const uses = new Map<string, Usage>();
@@ -41,14 +53,21 @@
   return uses;
 };
 
-const freeOf = (shareState: ShareState, machine: ShareMachine): Free => {
+const freeOf = (shareState: ShareState, machine: ShareMachine, catalog: Catalog): Free => {
   let { cpus, gpus, memoryGb } = machine.total;
+  const others = { cpus: 0, gpus: 0, memoryGb: 0 };
+  let dependent = false;
   const subtract = (jobId: string): boolean => {
     const spec = shareState.jobs.get(jobId)?.spec;
     if (!spec) return false;
     cpus -= spec.cpus;
     gpus -= spec.gpus;
     memoryGb -= spec.memoryGb;
+    if (hasAlternatives(spec, catalog)) {
+      others.cpus += spec.cpus;
+      others.gpus += spec.gpus;
+      others.memoryGb += spec.memoryGb;
+    } else dependent = true;
     return true;
   };
   let clear = true;
@@ -59,7 +78,19 @@
     // On the machine, but not ours any more: it is being stopped, and its room is not free yet.
     if (!subtract(task.job)) clear = false;
   }
-  return clear ? { _tag: 'free', cpus, gpus, memoryGb } : { _tag: 'unclear' };
+  return clear ? { _tag: 'free', cpus, gpus, memoryGb, others, dependent } : { _tag: 'unclear' };
+};
+
+/**
+ * Room beside the work that can't do without this type: what is over once as many of its largest tasks as the machine
+ * holds have their room. Only where such work runs already: an empty machine stays free to move to another share.
+ */
+const besideOf = (machine: ShareMachine, free: Free, scarce: Demand | null): Demand => {
+  if (free._tag === 'unclear' || scarce === null || !free.dependent) return NOTHING;
+  const tasks = howMany(scarce, machine.total, TASKS_MAX);
+  const over = (field: keyof Demand): number =>
+    Math.max(0, Math.min(free[field], machine.total[field] - tasks * scarce[field] - free.others[field]));
+  return { cpus: over('cpus'), gpus: over('gpus'), memoryGb: over('memoryGb') };
 };
 
 /**
@@ -67,7 +98,7 @@
  * work has other types to go to, always; where it has none, as long as it would take one of the last idle.
  */
 const keptForOthers = (machine: ShareMachine, idle: number, input: ViewInput): AvailableCapacity['kept'] => {
-  if (machine.spot || !input.scarce(machine.type)) return 'no';
+  if (machine.spot || input.scarceDemand(machine.type) === null) return 'no';
   if (input.catalog.size > 1) return 'always';
   return machine.bound.size === 0 && idle <= RESERVED_IDLE ? 'reserve' : 'no';
 };
@@ -90,7 +121,7 @@
       continue;
     const live = liveness.live(machine, input.now);
     if (!live && !liveness.expected(machine, input.now, input.wall)) continue;
-    machine.free ??= freeOf(shareState, machine);
+    machine.free ??= freeOf(shareState, machine, input.catalog);
     const { free } = machine;
     if (free._tag === 'unclear') continue;
     const held = heldBy(input.holds, machine);
@@ -101,6 +132,7 @@
       spot: machine.spot,
       total: machine.total,
       free: { cpus: free.cpus, gpus: free.gpus, memoryGb: free.memoryGb },
+      beside: { ...besideOf(machine, free, input.scarceDemand(machine.type)) },
       images: machine.images,
       live,
       kept: keptForOthers(machine, idle, input),
@@ -180,6 +212,7 @@
       ordinary:
         pressing.place || waitedS > (withinGuarantee ? ORDINARY_AFTER_GUARANTEED_S : ORDINARY_AFTER_S),
       withinGuarantee,
+      hasAlternatives: hasAlternatives(spec, input.catalog),
       gathering: input.holds.some((hold) => hold.job === spec.id),
     });
   }
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -2,7 +2,7 @@
 import { TASK_COUNTS_MAX, PLACE_TICK_MS, ROUND_GAP_MS, ROUND_SHARE, STORE_RETRY_MS } from '../constants.js';
 import { readMachineRecord, type Reservation, type Move, type Summary } from '../fleet/records.js';
 import { readJobRecord } from '../jobs/codec.js';
-import type { Catalog, FinalRecord, JobSpec } from '../jobs/model.js';
+import type { Catalog, Demand, FinalRecord, JobSpec } from '../jobs/model.js';
 import { log } from '../log.js';
 import type { Item, Store } from '../store/client.js';
 import { jobKey, runsPrefix } from '../store/keys.js';
@@ -31,8 +31,8 @@
   readonly store: Store;
   readonly cache: WatchCache;
   readonly catalog: () => Catalog | null;
-  /** Some job of any share that may not use spot machines fits no other type. */
-  readonly scarce: (type: string) => boolean;
+  /** The most that one task takes of the jobs, of any share, that may not use spot machines and fit no other type. */
+  readonly scarceDemand: (type: string) => Demand | null;
   /** Some class misses every start target if a machine of this type has to be booted for it. */
   readonly bootBound: (type: string) => boolean;
   readonly shareOfTeam: ReadonlyMap<string, number>;
@@ -395,7 +395,7 @@
       shareState: this.shareState,
       liveness: this.liveness,
       catalog,
-      scarce: this.input.scarce,
+      scarceDemand: this.input.scarceDemand,
       guarantees: this.input.guarantees,
       objectives: this.input.objectives,
       holds: this.input.holds(),
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -139,7 +139,16 @@
 
 /** Room on a machine. */
 export type Free =
-  | { readonly _tag: 'free'; readonly cpus: number; readonly gpus: number; readonly memoryGb: number }
+  | {
+      readonly _tag: 'free';
+      readonly cpus: number;
+      readonly gpus: number;
+      readonly memoryGb: number;
+      /** What work that has other types to go to takes of the machine. */
+      readonly others: Demand;
+      /** Work that has no other type to go to is on it. */
+      readonly dependent: boolean;
+    }
   /** Something is on it of which we don't know the size. */
   | { readonly _tag: 'unclear' };
 
--- a/src/service.ts
+++ b/src/service.ts
@@ -341,7 +341,7 @@
     store,
     cache: cache,
     catalog,
-    scarce: (type) => scarceTypes.has(type),
+    scarceDemand: (type) => scarceTypes.demand(type),
     bootBound: (type) => bootBoundTypes.has(type),
     shareOfTeam,
     limits,
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -127,7 +127,7 @@
     shareState,
     liveness,
     catalog,
-    scarce: () => true,
+    scarceDemand: () => ({ cpus: 57, gpus: 8, memoryGb: 310 }),
     guarantees: new Map(),
     objectives: new Map(),
     holds: [],
