Nothing below 4,000 machines: gangs of any size, spares counted, the leader's counts kept up

- A gang of more than 2,048 tasks was answered 422, and more than 2,048 waiting tasks were not looked at, so one of 4,000 could never be placed.
Gangs are looked at whole; a bind that one transaction can't hold, by changes or now by bytes too, is prepared in several writes and made valid by one.
- A share names 24 spares of a kind; the leader rented anew what it had beyond those.
It says how many more there are now.
- The leader walked over all machine records several times a second, and once for each machine that it adopted; counts are kept up with each change.
Tests fail without each. node target/testing/scale.js now goes to 6,000 machines.

--- a/src/fleet/fleet.test.ts
+++ b/src/fleet/fleet.test.ts
@@ -116,6 +116,29 @@
     summaries: [summary(0, [need({})]), summary(1, [], [spare('m')])],
     expect: ['move m 1>0'],
   },
+  // A share names a few dozen spares of a kind; thousands of free machines beyond those were rented anew.
+  {
+    name: 'also where the other share has more than it names',
+    summaries: [
+      summary(0, [need({ tasks: 1_000 })]),
+      {
+        ...summary(1, [], [spare('m')]),
+        unlisted: [{ type: 'large', zone: 'a', spot: true, count: 300 }],
+      },
+    ],
+    expect: ['move m 1>0'],
+  },
+  {
+    name: 'and rents what is missing beyond those',
+    summaries: [
+      summary(0, [need({ tasks: 20 })]),
+      {
+        ...summary(1, [], [spare('m')]),
+        unlisted: [{ type: 'large', zone: 'a', spot: true, count: 3 }],
+      },
+    ],
+    expect: ['move m 1>0', 'rent 0 large a spot 1'],
+  },
   {
     name: 'not one that the need may not use',
     summaries: [summary(0, [need({ spot: false })]), summary(1, [], [spare('m')])],
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -21,10 +21,11 @@
 import { CATALOG_KEY, claimKey, machineKey } from '../store/keys.js';
 import type { WatchCache } from '../store/watch-cache.js';
 import { readStored, storeCatalog } from './catalog.js';
+import { AdoptionQueue } from './adoption-queue.js';
 import type { Cloud, ListedMachine } from './cloud.js';
+import { kindKey, MachineIndex } from './machine-index.js';
 import { planSteps, type Moving, type Step } from './plan.js';
 import {
-  readMachineRecord,
   writeMachineRecord,
   type Reservation,
   type MachineRecord,
@@ -61,7 +62,8 @@
   private catalogAt = 0;
   /** Summaries older than this revision don't know of machines rented since. */
   private readonly rentedAt = new Map<number, number>();
-  private readonly adopting = new Map<string, MachineRecord>();
+  private readonly adopting = new AdoptionQueue();
+  private readonly machines = new MachineIndex();
   /** What machines are being gathered for; the shares hear of it with the heartbeats. */
   holds: readonly Reservation[] = [];
   private plannedAt = 0;
@@ -71,14 +73,16 @@
   /** Kinds of machines that are being rented this very moment. */
   private readonly renting = new Set<string>();
 
-  constructor(private readonly input: LeaderInput) {}
+  constructor(private readonly input: LeaderInput) {
+    input.cache.onEvent((event) => this.machines.onEvent(event));
+  }
 
   /** A worker that no record knows reported somewhere. */
   adopt(id: string, type: string, zone: string, spot: boolean, at = 0): void {
     if (this.input.cache.get(machineKey(id)) !== undefined || this.adopting.has(id)) return;
     const released = this.releasedAt.get(id);
     if (released !== undefined) return;
-    this.adopting.set(id, {
+    this.adopting.add(id, {
       share: this.smallestShare(type, zone, spot),
       type,
       zone,
@@ -93,17 +97,16 @@
   }
 
   private smallestShare(type: string, zone: string, spot: boolean): number {
-    const counts = Array.from({ length: this.input.shares }, () => 0);
-    const add = (record: MachineRecord): void => {
-      if (record.type === type && record.spot === spot)
-        counts[record.share] = (counts[record.share] ?? 0) + 1 + (record.zone === zone ? 0.1 : 0);
-    };
-    for (const item of this.input.cache.under('w/m/')) add(readMachineRecord(item.value));
-    for (const record of this.adopting.values()) add(record);
     let best = 0;
-    counts.forEach((count, share) => {
-      if (count < (counts[best] ?? 0)) best = share;
-    });
+    let least = Number.POSITIVE_INFINITY;
+    for (let share = 0; share < this.input.shares; share += 1) {
+      const weight =
+        this.machines.shares.weight(share, type, zone, spot) +
+        this.adopting.counts.weight(share, type, zone, spot);
+      if (weight >= least) continue;
+      least = weight;
+      best = share;
+    }
     return best;
   }
 
@@ -183,8 +186,7 @@
   private recordAdopted(claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       // Each unknown worker asks around once a second until it is recorded, so all that fit go at once; the rate is owed.
-      const batch = [...this.adopting].slice(0, this.input.store.txnOps);
-      for (const [id] of batch) this.adopting.delete(id);
+      const batch = this.adopting.take(this.input.store.txnOps);
       const fresh = batch.filter(([id]) => this.input.cache.get(machineKey(id)) === undefined);
       if (fresh.length === 0) return;
       const result = yield* this.record(claim, fresh);
@@ -230,20 +232,18 @@
 
   private release(claim: number): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const wanted = [...this.input.cache.under('w/m/')]
-        .filter((item) => readMachineRecord(item.value).releasing)
-        // As many as one call takes: the cloud's rate is the scarcest, and replacements need it too.
-        .slice(0, RELEASE_MAX);
-      if (wanted.length === 0) return;
-      const ids = wanted.map((item) => item.key.slice('w/m/'.length));
+      // As many as one call takes: the cloud's rate is the scarcest, and replacements need it too.
+      const ids = [...this.machines.releasing].slice(0, RELEASE_MAX);
+      if (ids.length === 0) return;
+      const wanted = ids.flatMap((id) => this.input.cache.get(machineKey(id)) ?? []);
       const released = yield* this.input.cloud.release(ids);
       log.info({ event: 'machine.released', machines: ids, ok: released });
       if (!released) return;
-      for (const item of wanted) {
-        const record = readMachineRecord(item.value);
-        this.releasedAt.set(item.key.slice('w/m/'.length), this.input.now());
+      for (const id of ids) {
+        this.releasedAt.set(id, this.input.now());
+        const record = this.machines.get(id);
         // What we gave back may be had again.
-        this.refusedUntil.delete(kindKey(record.type, record.zone, record.spot));
+        if (record) this.refusedUntil.delete(kindKey(record.type, record.zone, record.spot));
       }
       while (wanted.length > 0)
         yield* this.forget(claim, wanted.splice(0, Math.min(this.input.store.txnOps, RECORDS_GONE)));
@@ -311,14 +311,13 @@
           .map((summary) => summary.share),
       );
       // Machines rented for these are not recorded yet.
-      for (const record of this.adopting.values()) behind.add(record.share);
+      for (const share of this.adopting.shares()) behind.add(share);
       const now = this.input.now();
-      const counts = this.countMachines();
       for (const [id, { move, at }] of this.moving) {
         const item = this.input.cache.get(machineKey(id));
         const shown = summaries.find((summary) => summary.share === move.to)?.revision ?? 0;
         const arrived =
-          item !== undefined && readMachineRecord(item.value).share === move.to && shown >= item.version;
+          item !== undefined && this.machines.get(id)?.share === move.to && shown >= item.version;
         if (arrived || now - at > MOVE_SHOWN_MS) this.moving.delete(id);
       }
       const before = this.holds.map((hold) => ({ ...hold, ageMs: hold.ageMs + now - this.plannedAt }));
@@ -326,7 +325,7 @@
         summaries,
         catalog,
         refused: (type, zone, spot) => (this.refusedUntil.get(kindKey(type, zone, spot))?.until ?? 0) > now,
-        machines: (type, zone, spot) => counts.get(kindKey(type, zone, spot)) ?? 0,
+        machines: (type, zone, spot) => this.machines.ofKind(type, zone, spot),
         holds: before,
         behind,
         moving: [...this.moving.values()].map(({ move }) => move),
@@ -351,9 +350,9 @@
         const list = moves.get(step.from) ?? [];
         moves.set(step.from, list);
         list.push({ machine: step.machine, to: step.to });
-        const item = this.input.cache.get(machineKey(step.machine));
-        if (item) {
-          const { type, zone, spot } = readMachineRecord(item.value);
+        const record = this.machines.get(step.machine);
+        if (record) {
+          const { type, zone, spot } = record;
           this.moving.set(step.machine, {
             move: { machine: step.machine, to: step.to, type, zone, spot },
             at: now,
@@ -382,18 +381,6 @@
     });
   }
 
-  /** Machines by type, zone and kind, of all shares. */
-  private countMachines(): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const item of this.input.cache.under('w/m/')) {
-      const { type, zone, spot, releasing } = readMachineRecord(item.value);
-      if (releasing) continue;
-      const key = kindKey(type, zone, spot);
-      counts.set(key, (counts.get(key) ?? 0) + 1);
-    }
-    return counts;
-  }
-
   private refuse(key: string): void {
     const before = this.refusedUntil.get(key);
     const span = Math.min(NO_CAPACITY_MAX_MS, before ? before.span * 2 : NO_CAPACITY_MS);
@@ -433,7 +420,7 @@
             const batch = made.splice(0, this.input.store.batchOps);
             const written = yield* this.record(claim, batch);
             // Without an answer they may be recorded yet; if they are, they are known before the next try.
-            if (written !== 'committed') for (const [id, record] of batch) this.adopting.set(id, record);
+            if (written !== 'committed') for (const [id, record] of batch) this.adopting.add(id, record);
           }
           return;
         }
@@ -448,5 +435,3 @@
     });
   }
 }
-
-const kindKey = (type: string, zone: string, spot: boolean): string => `${type}|${zone}|${spot}`;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -61,6 +61,8 @@
   readonly zone: string;
   readonly spot: boolean;
   readonly free: { id: string; share: number }[];
+  /** Free machines beyond those that each share names. */
+  readonly unlisted: Map<number, number>;
 }
 
 type Place = Pick<UnmetDemand, 'types' | 'zone' | 'spot' | 'cpus' | 'gpus' | 'memoryGb'>;
@@ -98,15 +100,24 @@
 const poolsOf = (input: PlanInput): readonly Pool[] => {
   const pools = new Map<string, Pool>();
   const moving = new Set(input.moving.map((machine) => machine.machine));
+  const poolOf = (kind: { type: string; zone: string; spot: boolean }): Pool | null => {
+    const type = input.catalog.get(kind.type);
+    if (!type) return null;
+    const key = `${kind.type}|${kind.zone}|${kind.spot}`;
+    const pool = pools.get(key) ?? {
+      type,
+      zone: kind.zone,
+      spot: kind.spot,
+      free: [],
+      unlisted: new Map<number, number>(),
+    };
+    pools.set(key, pool);
+    return pool;
+  };
   for (const summary of input.summaries) {
-    for (const spare of summary.spares) {
-      const type = input.catalog.get(spare.type);
-      if (!type || moving.has(spare.id)) continue;
-      const key = `${spare.type}|${spare.zone}|${spare.spot}`;
-      const pool = pools.get(key) ?? { type, zone: spare.zone, spot: spare.spot, free: [] };
-      pools.set(key, pool);
-      pool.free.push({ id: spare.id, share: summary.share });
-    }
+    for (const spare of summary.spares)
+      if (!moving.has(spare.id)) poolOf(spare)?.free.push({ id: spare.id, share: summary.share });
+    for (const kind of summary.unlisted ?? []) poolOf(kind)?.unlisted.set(summary.share, kind.count);
   }
   const list = [...pools].sort(([a], [b]) => (a < b ? -1 : 1)).map(([, pool]) => pool);
   for (const pool of list) pool.free.sort((a, b) => (a.id < b.id ? -1 : 1));
@@ -171,11 +182,27 @@
     for (const pool of this.pools) {
       if (pool.zone !== zone) continue;
       const fits = fitsPool(need, need.tasks, pool);
-      if (fits > 0) room += fits * pool.free.filter((machine) => machine.share !== share).length;
+      if (fits === 0) continue;
+      room += fits * pool.free.filter((machine) => machine.share !== share).length;
+      for (const [holder, count] of pool.unlisted) if (holder !== share) room += fits * count;
     }
     return room;
   }
 
+  /** Counts on free machines that other shares have without naming them: they are named, and move, in the next rounds. */
+  private countUnlisted(pool: Pool, fits: number, share: number, missing: number): number {
+    let left = missing;
+    for (const [holder, count] of pool.unlisted) {
+      if (left <= 0) break;
+      if (holder === share || count === 0) continue;
+      const used = Math.min(count, Math.ceil(left / fits));
+      pool.unlisted.set(holder, count - used);
+      this.reached.clear();
+      left -= used * fits;
+    }
+    return left;
+  }
+
   /** Moves free machines of other shares until nothing is missing or none is left; what is missing then. */
   private gather(need: UnmetDemand, share: number, zone: string | null, missing: number): number {
     let left = missing;
@@ -191,6 +218,7 @@
         this.steps.push({ _tag: 'move', machine: machine.id, from: machine.share, to: share });
         left -= fits;
       }
+      left = this.countUnlisted(pool, fits, share, left);
     }
     return left;
   }
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -118,6 +118,14 @@
   readonly idleS: number;
 }
 
+/** How many spare machines of one kind a share has beyond those that it names. */
+export interface UnlistedSpares {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+}
+
 /** What the holder of a share tells the leader. */
 export interface Summary {
   readonly share: number;
@@ -127,4 +135,6 @@
   readonly needs: readonly UnmetDemand[];
   /** Machines without any task. */
   readonly spares: readonly SpareMachine[];
+  /** Of kinds with more spares than are named; earlier versions don't say. */
+  readonly unlisted?: readonly UnlistedSpares[];
 }
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -1,5 +1,5 @@
 import * as Effect from 'effect/Effect';
-import { CACHE_FRESH_MS, GANG_MAX_TASKS, FINAL_READS_MAX, RETRY_AFTER_S, VALUE_FILL } from '../constants.js';
+import { CACHE_FRESH_MS, FINAL_READS_MAX, RETRY_AFTER_S, VALUE_FILL } from '../constants.js';
 import type { Call, Reply } from '../http.js';
 import { quotaRoom, type Limit } from '../placement/pack.js';
 import { packIds, splitIds } from '../pipelines/codec.js';
@@ -69,8 +69,6 @@
   const together = spec.kind === 'array' ? 1 : spec.tasks;
   if (quotaRoom(spec, limit, { cpus: 0, gpus: 0 }, together) < together)
     return `more than the limit of team ${spec.team}`;
-  if (spec.kind === 'gang' && spec.tasks > GANG_MAX_TASKS)
-    return `a gang has at most ${GANG_MAX_TASKS} tasks`;
   return null;
 };
 
--- a/src/placement/gang.test.ts
+++ b/src/placement/gang.test.ts
@@ -8,25 +8,31 @@
 import { Writer } from './writer.js';
 
 /** A gang whose bind does not fit in one transaction: at every moment all of it is bound, or nothing. */
-const OPS = 10;
-const BYTES = 2_048;
-const TASKS = 1_900;
+interface Limits {
+  readonly name: string;
+  readonly tasks: number;
+  readonly ops: number;
+  readonly valueBytes: number;
+}
+const TXN_LIMIT_BYTES = 64 * 1024;
 
-const bindUntil = async (transactions: number) => {
+const bindUntil = async ({ tasks, ops, valueBytes }: Limits, transactions: number) => {
   const items = new Map<string, unknown>();
   let carriedOut = 0;
   let revision = 0;
   const request = (_: string, path: string, body: unknown): Promise<Answer> => {
     const { writes } = body as { writes: { write?: string; remove?: string; data?: unknown }[] };
     assert.equal(path, '/txn');
-    assert.ok(writes.length <= OPS, `${writes.length} changes`);
+    assert.ok(writes.length <= ops, `${writes.length} changes`);
+    const bytes = Buffer.byteLength(JSON.stringify(body));
+    assert.ok(bytes <= TXN_LIMIT_BYTES, `${bytes} bytes in one transaction`);
     if (carriedOut >= transactions)
       return Promise.resolve({ _tag: 'answer', status: 409, body: { failed: ['w/c/0'] } });
     carriedOut += 1;
     revision += 1;
     for (const { write, remove, data } of writes) {
       if (write !== undefined) {
-        assert.ok(Buffer.byteLength(JSON.stringify(data)) <= BYTES);
+        assert.ok(Buffer.byteLength(JSON.stringify(data)) <= valueBytes);
         items.set(write, JSON.parse(JSON.stringify(data)));
       } else if (remove !== undefined) items.delete(remove);
     }
@@ -34,7 +40,7 @@
   };
   const store = new Store(
     { host: 'h', port: 1 },
-    { rps: 1e6, write_rps: 1e6, txn_ops: OPS, nodes: 1 },
+    { rps: 1e6, write_rps: 1e6, txn_ops: ops, nodes: 1 },
     () => 0,
     () => ({ request }),
   );
@@ -44,7 +50,7 @@
     slot: 0,
     claim: 5,
     wall: () => 0,
-    valueBytes: BYTES,
+    valueBytes,
     maySplit: () => true,
     lost: () => undefined,
     isLost: () => false,
@@ -57,7 +63,7 @@
         team: 't',
         kind: 'gang',
         priority: 1,
-        tasks: TASKS,
+        tasks,
         cpus: 1,
         gpus: 0,
         memoryGb: 1,
@@ -82,7 +88,7 @@
     1,
   );
   job.attempt = 3;
-  for (let index = 0; index < TASKS; index += 1) {
+  for (let index = 0; index < tasks; index += 1) {
     const record = {
       share: 0,
       type: 'g',
@@ -98,7 +104,7 @@
     const machine = shareState.addMachine(id, record, 2, { cpus: 1, gpus: 0, memoryGb: 1 });
     shareState.bind(job, index, 3, machine, { _tag: 'binding' });
   }
-  const chunks = Array.from({ length: chunkOf(TASKS - 1) + 1 }, (_, chunk) => chunk);
+  const chunks = Array.from({ length: chunkOf(tasks - 1) + 1 }, (_, chunk) => chunk);
   const bound = await writer.commitGang(
     job,
     chunks.map((chunk) => writer.runWrite(job, chunk)),
@@ -118,14 +124,22 @@
   return { bound, found, carriedOut, job, valid: validAttempt(first), writing: job.writing };
 };
 
-test('gang: what is prepared counts for nothing until the one write that binds it', async () => {
-  const whole = await bindUntil(1_000);
-  assert.deepEqual([whole.bound, whole.found, whole.valid], [true, TASKS, 3]);
-  assert.ok(whole.carriedOut > 2, 'it does not fit in one or two');
-  for (let ended = 0; ended < whole.carriedOut; ended += 1) {
-    const part = await bindUntil(ended);
-    assert.deepEqual([part.bound, part.found, part.writing], [false, 0, 0], `ended after ${ended}`);
-    // Parts that are left behind are written over.
-    assert.ok([...part.job.chunks.values()].every((chunk) => chunk.dirtyFrom !== null));
-  }
-});
+/** A gang of a task a machine on a park of 4,000 was answered 422, or its one transaction would have been too large. */
+const limits: readonly Limits[] = [
+  { name: '1,900 tasks, small transactions and values', tasks: 1_900, ops: 10, valueBytes: 2_048 },
+  { name: '4,000 tasks, few changes a transaction', tasks: 4_000, ops: 16, valueBytes: 32 * 1024 },
+  { name: '4,000 tasks, as many changes as it has runs', tasks: 4_000, ops: 64, valueBytes: 16 * 1024 },
+];
+for (const row of limits) {
+  test(`gang: what is prepared counts for nothing until the one write that binds it, ${row.name}`, async () => {
+    const whole = await bindUntil(row, 1_000);
+    assert.deepEqual([whole.bound, whole.found, whole.valid], [true, row.tasks, 3]);
+    assert.ok(whole.carriedOut > 2, 'it does not fit in one or two');
+    for (let ended = 0; ended < whole.carriedOut; ended += 1) {
+      const part = await bindUntil(row, ended);
+      assert.deepEqual([part.bound, part.found, part.writing], [false, 0, 0], `ended after ${ended}`);
+      // Parts that are left behind are written over.
+      assert.ok([...part.job.chunks.values()].every((chunk) => chunk.dirtyFrom !== null));
+    }
+  });
+}
--- a/src/placement/placement-view.ts
+++ b/src/placement/placement-view.ts
@@ -154,9 +154,10 @@
 
 const waitingTasks = (job: ShareJob): readonly number[] => {
   const waiting: number[] = [];
-  // Enough for any limit; a job of 100,000 tasks need not be walked whole each round.
+  // A job of 100,000 tasks need not be walked whole each round, but a gang is placed whole.
+  const most = job.spec.kind === 'gang' ? job.spec.tasks : REQUEST_TASKS_MAX;
   while (job.done.has(job.firstOpen)) job.firstOpen += 1;
-  for (let index = job.firstOpen; index < job.spec.tasks && waiting.length < REQUEST_TASKS_MAX; index += 1) {
+  for (let index = job.firstOpen; index < job.spec.tasks && waiting.length < most; index += 1) {
     if (!job.done.has(index) && !job.bindings.has(index)) waiting.push(index);
   }
   return waiting;
--- a/src/placement/share-summary.ts
+++ b/src/placement/share-summary.ts
@@ -55,12 +55,14 @@
     const free = [...this.input.shareState.machines.values()].filter(
       (machine) => machine.bound.size === 0 && this.input.movable(machine),
     );
+    const spares = spareMachines(free, now);
     this.latest = {
       share: this.input.slot,
       claim: this.input.claim,
       revision: this.input.cache.revision,
       needs,
-      spares: spareMachines(free, now),
+      spares: spares.listed,
+      unlisted: spares.unlisted,
     };
     // The leader hears at once of what is new; what merely goes on waiting comes with the next heartbeat.
     const said = [
--- a/src/placement/unmet-demand.ts
+++ b/src/placement/unmet-demand.ts
@@ -8,7 +8,7 @@
   SPARES_PER_KIND_MAX,
   TASKS_MAX,
 } from '../constants.js';
-import type { UnmetDemand, SpareMachine, Summary, WaitingGang } from '../fleet/records.js';
+import type { UnlistedSpares, UnmetDemand, SpareMachine, Summary, WaitingGang } from '../fleet/records.js';
 import { howMany, placeAllowed, type Catalog, type JobSpec } from '../jobs/model.js';
 import { packAll, type PlacementRequest, type Limit, type AvailableCapacity, type Usage } from './pack.js';
 import type { ShareMachine } from './state.js';
@@ -125,8 +125,16 @@
   return [...needs.values()];
 };
 
-/** Free machines that may go to another share: a few of each kind, those that have been idle longest. */
-export const spareMachines = (machines: Iterable<ShareMachine>, now: number): readonly SpareMachine[] => {
+/** Free machines that may go to another share. */
+export interface Spares {
+  /** A few of each kind, those that have been idle longest. */
+  readonly listed: readonly SpareMachine[];
+  /** How many more there are; they are named as the first ones leave. */
+  readonly unlisted: readonly UnlistedSpares[];
+}
+
+/** Free machines that may go to another share: a few of each kind by name, of the others their number. */
+export const spareMachines = (machines: Iterable<ShareMachine>, now: number): Spares => {
   const kinds = new Map<string, SpareMachine[]>();
   for (const machine of machines) {
     const key = `${machine.type}|${machine.zone}|${machine.spot}`;
@@ -140,9 +148,16 @@
       idleS: machine.idleSince === null ? 0 : (now - machine.idleSince) / 1000,
     });
   }
-  return [...kinds.values()].flatMap((list) =>
-    list.sort((a, b) => b.idleS - a.idleS).slice(0, SPARES_PER_KIND_MAX),
-  );
+  const lists = [...kinds.values()];
+  return {
+    listed: lists.flatMap((list) => list.sort((a, b) => b.idleS - a.idleS).slice(0, SPARES_PER_KIND_MAX)),
+    unlisted: lists.flatMap((list) => {
+      const [first] = list;
+      if (!first || list.length <= SPARES_PER_KIND_MAX) return [];
+      const { type, zone, spot } = first;
+      return [{ type, zone, spot, count: list.length - SPARES_PER_KIND_MAX }];
+    }),
+  };
 };
 
 /** What peers that don't lead hear: whether there is a spare of some kind, nothing of needs. */
@@ -154,5 +169,5 @@
     kinds.add(key);
     return true;
   });
-  return { ...summary, needs: [], spares };
+  return { ...summary, needs: [], spares, unlisted: [] };
 };
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -1,5 +1,12 @@
 import * as Effect from 'effect/Effect';
-import { COMMITS_AT_ONCE, IMAGES_RECORD_BYTES, STORE_RETRY_MS, TXN_BYTES, VALUE_FILL } from '../constants.js';
+import {
+  COMMITS_AT_ONCE,
+  IMAGES_RECORD_BYTES,
+  STORE_RETRY_MS,
+  TXN_BYTES,
+  VALUE_FILL,
+  WRITE_FRAME_BYTES,
+} from '../constants.js';
 import { writeMachineRecord } from '../fleet/records.js';
 import { writeFinalRecord } from '../jobs/codec.js';
 import type { FinalRecord, FinalState } from '../jobs/model.js';
@@ -62,6 +69,13 @@
 /** Guess of a run record's size on the wire: a binding is an index, a machine's name and an attempt. */
 export const sizeOf = (record: RunRecord): number => 120 + record.bindings.length * 40;
 
+/** bytes on the wire, as the protocol measures them, of a run with its parts, its keys and its condition. */
+const storedBytes = (stored: StoredRun): number =>
+  [stored.record, ...stored.parts].reduce<number>(
+    (sum, value) => sum + JSON.stringify(value).length + WRITE_FRAME_BYTES,
+    0,
+  );
+
 /** Every durable change of a share: conditional on its claim, carried to a known end, several side by side. */
 export class Writer {
   private running = 0;
@@ -222,12 +236,22 @@
     return committed;
   }
 
+  private fitOneTransaction(writes: readonly RunWrite[]): boolean {
+    let changes = 0;
+    let bytes = 0;
+    for (const write of writes) {
+      changes += this.changesOf(write);
+      bytes += storedBytes(write.stored);
+    }
+    return changes <= this.input.store.txnOps && bytes <= TXN_BYTES;
+  }
+
   /** Binds a gang: in one transaction, or, where that can't hold it, by one that makes valid what was prepared. */
   async commitGang(job: ShareJob, writes: readonly RunWrite[], rank: Rank): Promise<boolean> {
-    const changes = writes.reduce((sum, write) => sum + this.changesOf(write), 0);
     const [first, ...others] = writes;
-    if (!first || first.chunk !== 0 || changes <= this.input.store.txnOps || !this.input.maySplit())
-      return this.commitRuns(writes, rank);
+    if (!first || first.chunk !== 0 || this.fitOneTransaction(writes)) return this.commitRuns(writes, rank);
+    // No transaction holds it, and what is prepared an earlier version would take for bound: it waits for the upgrade.
+    if (!this.input.maySplit()) return false;
     // Nothing else writes its runs in between.
     job.writing += 1;
     try {
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -160,21 +160,23 @@
     }),
   );
 
-const rows = [100, 1_000, 2_000].map((all) => {
+const rows = [100, 1_000, 2_000, 4_000, 6_000].map((all) => {
   const { shareState, view } = shareOf(all / SHARES);
   const needs = () => {
     const { packed, rooms, uses } = round(view);
     return unmetDemand(packed.left, rooms, limits, uses, catalog, view.objectives, view.wall);
   };
+  const free = spareMachines(
+    [...shareState.machines.values()].filter((machine) => machine.bound.size === 0),
+    view.now,
+  );
   const summaries = Array.from({ length: SHARES }, (_, share): Summary => ({
     share,
     claim: 1,
     revision: 1,
     needs: needs(),
-    spares: spareMachines(
-      [...shareState.machines.values()].filter((machine) => machine.bound.size === 0),
-      view.now,
-    ),
+    spares: free.listed,
+    unlisted: free.unlisted,
   }));
   const records = [...shareState.jobs.values()].map((job) => writeRunRecord(runRecord(job, 0), 0));
   const roundMs = timed(() => round(view));
