Room is made for all waiting jobs in one search; claims of a silent node are taken at once

Now up to 32 waiting jobs are decided together, each on the machines as those before it leave them; a spread job is made room for only where its zones may still take it. The first round of a process weighs in full for its rest. Tried and taken back: calls whose callers have gone were to be left out (the end of a connection is seen a turn of the loop too late).

--- a/src/claims/decide.ts
+++ b/src/claims/decide.ts
@@ -64,8 +64,12 @@
 const patienceMs = (view: ClaimsView, slot: string): number => {
   const rank = Math.max(0, view.nodes.indexOf(view.me.node));
   if (slot === LEADER) return rank * LEADER_RANK_PAUSE_MS;
-  if (preferred(view, slot) === view.me.node) return 0;
-  return CLAIM_GRACE_MS + heldBy(view, view.me.node) * CLAIM_HELD_PAUSE_MS + rank * CLAIM_RANK_PAUSE_MS;
+  const owner = preferred(view, slot);
+  if (owner === view.me.node) return 0;
+  const pause = heldBy(view, view.me.node) * CLAIM_HELD_PAUSE_MS + rank * CLAIM_RANK_PAUSE_MS;
+  // One that fell silent is not waited for: the leases of its workers run out meanwhile.
+  const silent = view.peers.some((peer) => peer.node === owner && peer.steadyMs < 0);
+  return silent ? pause : CLAIM_GRACE_MS + pause;
 };
 
 /** Free claims, and those of an earlier process of this node: a node runs one process, so that one is dead. */
--- a/src/claims/lease-state.test.ts
+++ b/src/claims/lease-state.test.ts
@@ -139,6 +139,27 @@
     }),
     expect: ['take 1'],
   },
+  // The grace for a node that had just ended was a sixth of its workers' lease, in which no worker was answered.
+  {
+    name: 'one whose node fell silent is not left to it',
+    view: view({
+      claims: all({ '0': claim('n0'), '2': claim('n2'), L: claim('n2') }),
+      freeSince: new Map([['1', 0]]),
+      peers: [{ node: 'n1', incarnation: '1', lease: 3, steadyMs: -1, stateOk: true, deaf: false }],
+      now: 700,
+    }),
+    expect: ['take 1'],
+  },
+  {
+    name: 'but left to it while it is heard',
+    view: view({
+      claims: all({ '0': claim('n0'), '2': claim('n2'), L: claim('n2') }),
+      freeSince: new Map([['1', 0]]),
+      peers: [{ node: 'n1', incarnation: '1', lease: 3, steadyMs: 100, stateOk: true, deaf: false }],
+      now: 700,
+    }),
+    expect: [],
+  },
   {
     name: "a restarted process takes over its predecessor's claims at once",
     view: view({
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -157,8 +157,8 @@
 export const WATCH_MACHINES_MS = 500;
 /** ms: pause between searches for groups to preempt, the dearest of decisions. */
 export const PREEMPT_INTERVAL_MS = 1_000;
-/** Waiting classes that one search looks at. */
-export const PREEMPT_REQUESTS_MAX = 6;
+/** Waiting jobs that one search looks at; the rest follow in the next. A search of dozens costs some ten milliseconds. */
+export const PREEMPT_REQUESTS_MAX = 32;
 /** Fraction of a node's change rate below which finished tasks are written at once: there is room to spare, and the
  *  sooner an exit is written, the sooner its machine may move to another share. */
 export const FLUSH_AT_ONCE = 0.4;
--- a/src/placement/preemption.test.ts
+++ b/src/placement/preemption.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../jobs/model.js';
-import { chooseVictims, type Group, type OccupiedMachine } from './preemption.js';
+import { preempt, type Group, type OccupiedMachine, type PreemptingJob } from './preemption.js';
 
 const spec = (over: Partial<JobSpec>): JobSpec => ({
   id: 'job-9',
@@ -38,9 +38,18 @@
   return { id, type: 'g', zone, spot, free: { cpus: 64, gpus: 8 - used, memoryGb: 64 }, groups };
 };
 
+const waiting = (job: JobSpec, over: Partial<PreemptingJob> = {}): PreemptingJob => ({
+  spec: job,
+  count: job.tasks,
+  inZones: new Map(),
+  failedOn: new Set(),
+  ...over,
+});
+
 const rows: readonly {
   name: string;
   spec: JobSpec;
+  over?: Partial<PreemptingJob>;
   machines: readonly OccupiedMachine[];
   expect: readonly string[];
 }[] = [
@@ -106,13 +115,56 @@
     machines: [machine('a', 'x', [group('j1', 0, 8)], true)],
     expect: [],
   },
+  // Groups went in a zone that had its part of a spread job already, and the job could not start for it.
+  {
+    name: 'a spread job only where its zones may still take tasks',
+    spec: spec({ kind: 'service', oneZone: false, spread: true, tasks: 2 }),
+    over: { count: 1, inZones: new Map([['x', 1]]) },
+    machines: [machine('a', 'x', [group('j1', 0, 8)]), machine('b', 'y', [group('j2', 1, 8)])],
+    expect: ['j2@b'],
+  },
+  {
+    name: 'a one-zone array only where its tasks are',
+    spec: spec({ kind: 'array', tasks: 2 }),
+    over: { count: 1, inZones: new Map([['y', 1]]) },
+    machines: [machine('a', 'x', [group('j1', 0, 8)]), machine('b', 'y', [group('j2', 1, 8)])],
+    expect: ['j2@b'],
+  },
+  {
+    name: 'not on a machine on which the job failed',
+    spec: spec({}),
+    over: { failedOn: new Set(['a']) },
+    machines: [machine('a', 'x', [group('j1', 0, 8)]), machine('b', 'x', [group('j2', 1, 8)])],
+    expect: ['j2@b'],
+  },
 ];
 for (const row of rows) {
   test(`evict: ${row.name}`, () => {
-    const victims = chooseVictims(row.spec, row.spec.tasks, row.machines);
+    const { evictions } = preempt(waiting(row.spec, row.over), row.machines);
     assert.deepEqual(
-      victims.map((victim) => `${victim.job}@${victim.machine}`),
+      evictions.map((victim) => `${victim.job}@${victim.machine}`),
       row.expect,
     );
   });
 }
+
+test('evict: the next job finds what the first one cleared and took', () => {
+  // One job a second was made room for; after the loss of a zone the last of thirty services waited half a minute.
+  const half = spec({ kind: 'service', oneZone: false, gpus: 4 });
+  const machines = [machine('a', 'x', [group('j1', 1, 8)]), machine('b', 'x', [group('j2', 1, 8)])];
+  const evicted: string[][] = [];
+  let left: readonly OccupiedMachine[] = machines;
+  for (let k = 0; k < 5; k += 1) {
+    const { evictions, machines: after } = preempt(waiting(half), left);
+    evicted.push(evictions.map((eviction) => `${eviction.job}@${eviction.machine}`));
+    left = after;
+  }
+  assert.deepEqual(evicted, [['j1@a'], [], ['j2@b'], [], []]);
+  assert.deepEqual(
+    left.map((entry) => [entry.free.gpus, entry.groups.length]),
+    [
+      [0, 0],
+      [0, 0],
+    ],
+  );
+});
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -90,6 +90,10 @@
 interface Choice {
   readonly evictions: readonly Eviction[];
   readonly rank: readonly number[];
+  /** Keys of the groups that go. */
+  readonly gone: ReadonlySet<string>;
+  /** Tasks of the job for which each machine is cleared. */
+  readonly tasks: ReadonlyMap<string, number>;
 }
 
 /** Plans of machines stay as they are until a group with tasks on them goes for another's sake. */
@@ -128,11 +132,42 @@
   }
 }
 
-const chooseAmong = (spec: JobSpec, count: number, machines: readonly OccupiedMachine[]): Choice | null => {
+/** A job that finds no room. */
+export interface PreemptingJob {
+  readonly spec: JobSpec;
+  /** Tasks that wait. */
+  readonly count: number;
+  /** Its tasks that are, or may be, on machines, by zone. */
+  readonly inZones: ReadonlyMap<string, number>;
+  /** Machines on which it failed. */
+  readonly failedOn: ReadonlySet<string>;
+}
+
+/** How many more tasks of the job each zone may take. */
+class ZoneRoom {
+  private readonly used: Map<string, number>;
+  private readonly cap: number;
+
+  constructor({ spec, inZones }: PreemptingJob) {
+    this.used = new Map(inZones);
+    this.cap = spec.spread ? Math.ceil(spec.tasks / 2) : Number.POSITIVE_INFINITY;
+  }
+  in(zone: string): number {
+    return this.cap - (this.used.get(zone) ?? 0);
+  }
+  take(zone: string, tasks: number): void {
+    this.used.set(zone, (this.used.get(zone) ?? 0) + tasks);
+  }
+}
+
+const chooseAmong = (job: PreemptingJob, machines: readonly OccupiedMachine[]): Choice | null => {
+  const { spec, count } = job;
+  const zoneRoom = new ZoneRoom(job);
   const gone = new Set<string>();
   const plans = new PlanCache(spec, gone);
   const left = [...machines];
   const evictions: Eviction[] = [];
+  const tasks = new Map<string, number>();
   let missing = count;
   let sizes = 0;
   let worst = 0;
@@ -140,6 +175,9 @@
     const pick = plans.cheapest(left);
     if (!pick) break;
     left.splice(left.indexOf(pick.machine), 1);
+    const here = Math.min(missing, pick.fits, zoneRoom.in(pick.machine.zone));
+    if (here <= 0) continue;
+    zoneRoom.take(pick.machine.zone, here);
     for (const victim of pick.victims) {
       const key = keyOf(pick.machine.id, victim);
       if (gone.has(key)) continue;
@@ -149,28 +187,71 @@
       sizes += size(victim);
       worst = Math.max(worst, victim.priority);
     }
-    missing -= pick.fits;
+    tasks.set(pick.machine.id, here);
+    missing -= here;
   }
   const starts = spec.kind === 'gang' ? missing <= 0 : missing < count;
-  return evictions.length > 0 && starts ? { evictions, rank: [worst, evictions.length, sizes] } : null;
+  return starts ? { evictions, rank: [worst, evictions.length, sizes], gone, tasks } : null;
 };
 
-/** Which groups to preempt so that `count` tasks can start; none if no eviction would lead to a start. */
-export const chooseVictims = (
-  spec: JobSpec,
-  count: number,
-  machines: readonly OccupiedMachine[],
-): readonly Eviction[] => {
-  const usable = machines.filter((machine) => placeAllowed(spec, machine));
+const bestChoice = (job: PreemptingJob, machines: readonly OccupiedMachine[]): Choice | null => {
+  const { spec, inZones, failedOn } = job;
+  const occupiedZones = spec.oneZone ? [...inZones].filter(([, tasks]) => tasks > 0) : [];
+  const usable = machines.filter(
+    (machine) =>
+      placeAllowed(spec, machine) &&
+      !failedOn.has(machine.id) &&
+      // Once some tasks run, only the zone that holds them counts.
+      occupiedZones.every(([zone]) => zone === machine.zone),
+  );
   const zones = spec.oneZone ? [...new Set(usable.map((machine) => machine.zone))].sort() : [null];
   let best: Choice | null = null;
+  /** It would fit without an eviction, in room that earlier jobs of this search had cleared, or that is kept for others. */
+  let fitting: Choice | null = null;
   for (const zone of zones) {
     const choice = chooseAmong(
-      spec,
-      count,
+      job,
       usable.filter((machine) => zone === null || machine.zone === zone),
     );
-    if (choice && (!best || isLess(choice.rank, best.rank))) best = choice;
+    if (choice?.evictions.length === 0) fitting ??= choice;
+    else if (choice && (!best || isLess(choice.rank, best.rank))) best = choice;
   }
-  return best?.evictions ?? [];
+  return best ?? fitting;
+};
+
+/** The machine once the groups of a choice are gone and the job's tasks are on it. */
+const afterChoice = (spec: JobSpec, machine: OccupiedMachine, choice: Choice): OccupiedMachine => {
+  const tasks = choice.tasks.get(machine.id) ?? 0;
+  const free = {
+    cpus: machine.free.cpus - spec.cpus * tasks,
+    gpus: machine.free.gpus - spec.gpus * tasks,
+    memoryGb: machine.free.memoryGb - spec.memoryGb * tasks,
+  };
+  const groups: Group[] = [];
+  for (const group of machine.groups) {
+    if (!choice.gone.has(keyOf(machine.id, group))) {
+      groups.push(group);
+      continue;
+    }
+    free.cpus += group.demand.cpus;
+    free.gpus += group.demand.gpus;
+    free.memoryGb += group.demand.memoryGb;
+  }
+  return { ...machine, free, groups };
+};
+
+/** Groups to stop for one job, and the machines as the next job that needs some finds them. */
+export interface Preemption {
+  readonly evictions: readonly Eviction[];
+  readonly machines: readonly OccupiedMachine[];
+}
+
+/** Which groups to preempt so that the job's tasks can start; none if no eviction would lead to a start. */
+export const preempt = (job: PreemptingJob, machines: readonly OccupiedMachine[]): Preemption => {
+  const choice = bestChoice(job, machines);
+  if (!choice) return { evictions: [], machines };
+  return {
+    evictions: choice.evictions,
+    machines: machines.map((machine) => afterChoice(job.spec, machine, choice)),
+  };
 };
--- a/src/placement/preemptor.ts
+++ b/src/placement/preemptor.ts
@@ -2,7 +2,7 @@
 import type { JobSpec } from '../jobs/model.js';
 import { log } from '../log.js';
 import type { AvailableCapacity } from './pack.js';
-import { chooseVictims, type OccupiedMachine } from './preemption.js';
+import { preempt, type Eviction, type OccupiedMachine } from './preemption.js';
 import type { ShareState } from './share-state.js';
 import type { Binding, ShareJob } from './state.js';
 import type { UnplacedRequest } from './unmet-demand.js';
@@ -26,7 +26,8 @@
 
   /**
    * Whole groups of lower priority go when nothing else helps: no room here, no free machine in another share
-   * that would do, and nothing already on its way out. One job a round, and only if it can start for it.
+   * that would do, and nothing already on its way out. All jobs that need it are decided together, the most important first,
+   * each only if it can start for it: after the loss of a zone, dozens of services wait for room at once.
    */
   run(left: readonly UnplacedRequest[], rooms: readonly AvailableCapacity[]): void {
     const now = this.input.now();
@@ -34,30 +35,32 @@
     const candidates = left
       .filter(({ ask }) => ask.spec.priority > 0 && this.input.wall() - ask.at >= PREEMPT_AFTER_MS)
       .slice(0, PREEMPT_REQUESTS_MAX);
-    if (candidates.length === 0) return;
-    for (const machine of this.input.shareState.machines.values()) {
-      for (const binding of machine.bound.values()) if (binding.stop?.reason === 'evicted') return;
-    }
+    if (candidates.length === 0 || this.evictionsUnderWay()) return;
     this.lastSearchAt = now;
-    const occupied = this.occupied(rooms);
+    let machines = this.occupied(rooms);
     for (const { ask, count } of candidates) {
       if (this.input.spareElsewhere(this.input.slot, ask.spec)) continue;
-      const victims = chooseVictims(
-        ask.spec,
-        count,
-        ask.failedOn.size === 0 ? occupied : occupied.filter((machine) => !ask.failedOn.has(machine.id)),
-      );
-      if (victims.length === 0) continue;
-      for (const victim of victims) {
-        const job = this.input.shareState.jobs.get(victim.job);
-        if (!job) continue;
-        log.info({ event: 'group.evicted', job: victim.job, machine: victim.machine, for: ask.job });
-        for (const binding of job.bindings.values()) {
-          if (job.spec.kind === 'gang' || binding.machine === victim.machine)
-            this.input.shareState.stop(binding, 'evicted', this.input.shareState.graceOf(job));
-        }
-      }
-      return;
+      const { spec, inZones, failedOn } = ask;
+      const preemption = preempt({ spec, count, inZones, failedOn }, machines);
+      for (const eviction of preemption.evictions) this.evict(eviction, ask.job);
+      machines = preemption.machines;
+    }
+  }
+
+  private evictionsUnderWay(): boolean {
+    for (const machine of this.input.shareState.machines.values())
+      for (const binding of machine.bound.values()) if (binding.stop?.reason === 'evicted') return true;
+    return false;
+  }
+
+  private evict(victim: Eviction, beneficiary: string): void {
+    const { shareState } = this.input;
+    const job = shareState.jobs.get(victim.job);
+    if (!job) return;
+    log.info({ event: 'group.evicted', job: victim.job, machine: victim.machine, for: beneficiary });
+    for (const binding of job.bindings.values()) {
+      if (job.spec.kind === 'gang' || binding.machine === victim.machine)
+        shareState.stop(binding, 'evicted', shareState.graceOf(job));
     }
   }
 
--- a/src/placement/round-pacer.ts
+++ b/src/placement/round-pacer.ts
@@ -10,13 +10,16 @@
  * earn a rest of many seconds, in which nothing is placed.
  */
 export class RoundPacer {
-  private average = 0;
+  /** ms; null: no round yet. */
+  private average: number | null = null;
 
   constructor(private readonly coreShare: number) {}
 
   /** Takes note of a round's processor time (ms); returns the rest before the next (ms). */
   restAfter(processorMs: number): number {
-    this.average += (processorMs - this.average) * ROUND_AVERAGE_WEIGHT;
+    // The first is as dear as the next few: nothing is compiled yet, and everything waits.
+    const before = this.average ?? processorMs;
+    this.average = before + (processorMs - before) * ROUND_AVERAGE_WEIGHT;
     return restMs(this.average, this.coreShare);
   }
 }
