--- a/src/fleet/machine-index.test.ts
+++ b/src/fleet/machine-index.test.ts
@@ -3,22 +3,12 @@
 import type { StoreEvent } from '../store/client.js';
 import { AdoptionQueue } from './adoption-queue.js';
 import { MachineIndex } from './machine-index.js';
+import { machineRecord } from '../testing/bodies.js';
 import { writeMachineRecord, type MachineRecord } from './records.js';
 
-const record = (over: Partial<MachineRecord> = {}): MachineRecord => ({
-  share: 0,
-  type: 'g',
-  zone: 'x',
-  spot: false,
-  at: 0,
-  releasing: false,
-  addr: '',
-  session: 0,
-  ...over,
-});
 const put = (id: string, over: Partial<MachineRecord> = {}): StoreEvent => ({
   _tag: 'put',
-  item: { key: `w/m/${id}`, value: writeMachineRecord(record(over)), version: 1 },
+  item: { key: `w/m/${id}`, value: writeMachineRecord(machineRecord(over)), version: 1 },
 });
 const remove = (id: string): StoreEvent => ({ _tag: 'delete', key: `w/m/${id}`, version: 2 });
 
@@ -72,9 +62,9 @@
 
 test('machine index: machines that wait for their record count for the share that they are meant for', () => {
   const queue = new AdoptionQueue();
-  queue.add('a', record({ share: 1 }));
-  queue.add('b', record({ share: 1, zone: 'y' }));
-  queue.add('a', record({ share: 1 }));
+  queue.add('a', machineRecord({ share: 1 }));
+  queue.add('b', machineRecord({ share: 1, zone: 'y' }));
+  queue.add('a', machineRecord({ share: 1 }));
   assert.ok(queue.counts.weight(1, 'g', 'x', false) > queue.counts.weight(1, 'g', 'z', false));
   assert.deepEqual([...queue.shares()], [1]);
   assert.deepEqual(
--- a/src/placement/gang.test.ts
+++ b/src/placement/gang.test.ts
@@ -3,6 +3,7 @@
 import type { Answer } from '../http.js';
 import { Store } from '../store/client.js';
 import { parseRunKey, runKey, runPartKey } from '../store/keys.js';
+import { jobSpec, machineRecord } from '../testing/bodies.js';
 import { ShareState } from './share-state.js';
 import { chunkOf, counts, partsOf, readRunRecord, validAttempt } from './records.js';
 import { Writer } from './writer.js';
@@ -57,28 +58,16 @@
   });
   const job = shareState.adoptJob(
     {
-      spec: {
-        id: 'job-1',
-        klass: 'c',
+      spec: jobSpec('job-1', {
         team: 't',
         kind: 'gang',
         priority: 1,
         tasks,
         cpus: 1,
-        gpus: 0,
         memoryGb: 1,
-        types: null,
-        zone: null,
-        oneZone: false,
-        spread: false,
-        spot: false,
         image: 'i',
-        imageGb: 1,
         estimateS: 10,
-        checkpointS: 0,
-        saveS: 0,
-        deadlineS: null,
-      },
+      }),
       at: 0,
       cancelled: false,
       cancelledAt: null,
@@ -89,19 +78,9 @@
   );
   job.attempt = 3;
   for (let index = 0; index < tasks; index += 1) {
-    const record = {
-      share: 0,
-      type: 'g',
-      zone: 'x',
-      spot: false,
-      at: 0,
-      releasing: false,
-      addr: '',
-      session: 0,
-    };
     // No two side by side on one machine: the longest that a run can be.
     const id = `i-${String(index).padStart(9, '0')}`;
-    const machine = shareState.addMachine(id, record, 2, { cpus: 1, gpus: 0, memoryGb: 1 });
+    const machine = shareState.addMachine(id, machineRecord(), 2, { cpus: 1, gpus: 0, memoryGb: 1 });
     shareState.bind(job, index, 3, machine, { _tag: 'binding' });
   }
   const chunks = Array.from({ length: chunkOf(tasks - 1) + 1 }, (_, chunk) => chunk);
--- a/src/placement/pack.test.ts
+++ b/src/placement/pack.test.ts
@@ -9,30 +9,21 @@
   type Limit,
   type AvailableCapacity,
 } from './pack.js';
+import { jobSpec } from '../testing/bodies.js';
 
-const spec = (over: Partial<JobSpec>): JobSpec => ({
-  id: 'job-1',
-  klass: 'k',
-  team: 't',
-  kind: 'array',
-  priority: 1,
-  tasks: 1,
-  cpus: 8,
-  gpus: 1,
-  memoryGb: 8,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: 'img',
-  imageGb: 1,
-  estimateS: 10,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-  ...over,
-});
+const spec = (over: Partial<JobSpec>): JobSpec =>
+  jobSpec('job-1', {
+    klass: 'k',
+    team: 't',
+    kind: 'array',
+    priority: 1,
+    tasks: 1,
+    cpus: 8,
+    gpus: 1,
+    memoryGb: 8,
+    estimateS: 10,
+    ...over,
+  });
 const ask = (over: Partial<JobSpec>, rest: Partial<PlacementRequest> = {}): PlacementRequest => {
   const made = spec(over);
   return {
--- a/src/placement/preemption.test.ts
+++ b/src/placement/preemption.test.ts
@@ -2,30 +2,23 @@
 import { test } from 'node:test';
 import type { JobSpec } from '../jobs/model.js';
 import { preempt, type Group, type OccupiedMachine, type PreemptingJob } from './preemption.js';
+import { jobSpec } from '../testing/bodies.js';
 
-const spec = (over: Partial<JobSpec>): JobSpec => ({
-  id: 'job-9',
-  klass: 'k',
-  team: 't',
-  kind: 'gang',
-  priority: 2,
-  tasks: 1,
-  cpus: 8,
-  gpus: 8,
-  memoryGb: 8,
-  types: null,
-  zone: null,
-  oneZone: true,
-  spread: false,
-  spot: false,
-  image: 'i',
-  imageGb: 1,
-  estimateS: 1,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-  ...over,
-});
+const spec = (over: Partial<JobSpec>): JobSpec =>
+  jobSpec('job-9', {
+    klass: 'k',
+    team: 't',
+    kind: 'gang',
+    priority: 2,
+    tasks: 1,
+    cpus: 8,
+    gpus: 8,
+    memoryGb: 8,
+    oneZone: true,
+    image: 'i',
+    estimateS: 1,
+    ...over,
+  });
 const group = (job: string, priority: number, gpus: number, gang = false): Group => ({
   job,
   priority,
--- a/src/testing/bodies.ts
+++ b/src/testing/bodies.ts
@@ -1,3 +1,4 @@
+import type { MachineRecord } from '../fleet/records.js';
 import type { JobSpec } from '../jobs/model.js';
 
 /** A submission as users send it; what a test is about goes over it. */
@@ -49,3 +50,16 @@
   deadlineS: null,
   ...over,
 });
+
+/** The record of an ordinary machine that nobody has heard of yet; what a test is about goes over it. */
+export const machineRecord = (over: Partial<MachineRecord> = {}): MachineRecord => ({
+  share: 0,
+  type: 'g',
+  zone: 'x',
+  spot: false,
+  at: 0,
+  releasing: false,
+  addr: '',
+  session: 0,
+  ...over,
+});
