--- a/src/constants.ts
+++ b/src/constants.ts
@@ -57,8 +57,9 @@
 /** ms: wait for a peer's answer. */
 export const PEER_TIMEOUT_MS = 900;
 
-/** Jobs whose task counts a share tells the other nodes with each heartbeat; they are for display only. */
-export const TASK_COUNTS_MAX = 400;
+/** Jobs whose task counts a share tells the other nodes with each heartbeat; they are for display only. As many as a share of
+ *  4,000 machines has at a job a machine: some 100 KB then, and as much less as there are fewer. */
+export const TASK_COUNTS_MAX = 4_000;
 
 /** ms: wait for the state service. Normal answers take 10 ms, now and then a few hundred. */
 export const STORE_TIMEOUT_MS = 1_500;
