packages/fencing: duties with fencing tokens, rental intents, removal in two steps

Need: each caller fenced its effects by habit, the cloud checks no tokens, and left-over state was cleared under the claim alone. The package holds the state machine of a duty, permits that are asked again as bytes leave, a clock that counts suspensions, the durable book of rental requests, removal by mark and second look, and the audit.

--- /dev/null
+++ b/packages/fencing/src/clock.ts
@@ -0,0 +1,63 @@
+/**
+ * A clock for the right to act. The steady clock of a suspended host stands still while leases run out elsewhere; the
+ * time of day goes on, but somebody may set it. Time counts as passed when either of the two says so: a suspension and a
+ * jump forward both make a lease look older than it is, which costs at most the duty, and a jump back gives nothing.
+ *
+ * Evidence that something is *over* elsewhere (a worker's lease, say) must not use this clock: it may run ahead.
+ */
+
+/** ms: the anchor is renewed this often, so that drift between the two clocks never adds up to a difference that counts. */
+const ANCHOR_MS = 5_000;
+/** ms: two clocks are read one after the other, and a timer's turn may end in between. */
+const READING_SLACK_MS = 20;
+/** Clocks read as bounded by their error on both sides: an error of either sign may begin and end the interval. */
+const ERROR_SIDES = 2;
+
+/** What the clock reads. */
+export interface ClockSources {
+  /** ms, steady. */
+  readonly steady: () => number;
+  /** ms since the epoch. */
+  readonly timeOfDay: () => number;
+  /** ms: how far the time of day may be from true time. */
+  readonly timeOfDayErrorMs: number;
+}
+
+/** A steady clock that also counts the time for which its host stood still. */
+export class SuspensionAwareClock {
+  private anchorSteady: number;
+  private anchorTimeOfDay: number;
+  private added = 0;
+  /** ms: differences up to this much are clock error, not suspension. */
+  readonly toleranceMs: number;
+
+  constructor(
+    private readonly sources: ClockSources,
+    /** Told of each suspension or jump forward that was found (ms). */
+    private readonly onGap: (gapMs: number) => void = () => undefined,
+  ) {
+    this.toleranceMs = ERROR_SIDES * sources.timeOfDayErrorMs + READING_SLACK_MS;
+    this.anchorSteady = sources.steady();
+    this.anchorTimeOfDay = sources.timeOfDay();
+  }
+
+  /** ms: never goes back, never behind the steady clock's own pace. */
+  readonly now = (): number => {
+    const steady = this.sources.steady();
+    const timeOfDay = this.sources.timeOfDay();
+    const gap = timeOfDay - this.anchorTimeOfDay - (steady - this.anchorSteady);
+    if (gap > this.toleranceMs) {
+      this.added += gap;
+      this.anchor(steady, timeOfDay);
+      this.onGap(gap);
+    } else if (gap < -this.toleranceMs || steady - this.anchorSteady >= ANCHOR_MS) {
+      this.anchor(steady, timeOfDay);
+    }
+    return steady + this.added;
+  };
+
+  private anchor(steady: number, timeOfDay: number): void {
+    this.anchorSteady = steady;
+    this.anchorTimeOfDay = timeOfDay;
+  }
+}
--- /dev/null
+++ b/packages/fencing/src/duties.ts
@@ -0,0 +1,146 @@
+/**
+ * The duties of a deployment, and every effect that each has outside its process. A duty hangs on a claim in the state
+ * service; all duties on one claim share its holder and its fencing token.
+ */
+
+/** How a late effect of a replaced holder is kept from doing harm. */
+export type Fence =
+  /** A transaction with the claim among its conditions: the state service refuses it. */
+  | 'conditional'
+  /** The receiver compares tokens, and refuses lower ones than it has seen. */
+  | 'receiver'
+  /** The receiver cannot check: a durable intent comes first, which no later holder contradicts. */
+  | 'intent';
+
+/** One kind of effect of a duty. */
+export interface EffectDefinition {
+  readonly name: string;
+  readonly fence: Fence;
+  /** Why a late or repeated copy is refused or harmless. */
+  readonly late: string;
+}
+
+/** Which claim a duty hangs on: that of the leader, or that of each share. */
+export type ClaimKind = 'leader' | 'share';
+
+/** A duty. */
+export interface DutyDefinition {
+  readonly name: DutyName;
+  readonly claim: ClaimKind;
+  readonly effects: readonly EffectDefinition[];
+}
+
+/** Names of all duties. */
+export const DUTY_NAMES = [
+  'rent',
+  'release',
+  'adopt',
+  'move',
+  'reserve',
+  'catalog',
+  'protocol-level',
+  'reclaim',
+  'clean-up',
+  'preempt',
+] as const;
+/** The name of a duty. */
+export type DutyName = (typeof DUTY_NAMES)[number];
+
+const conditional = (name: string): EffectDefinition => ({
+  name,
+  fence: 'conditional',
+  late: 'refused: the claim is among the conditions of the transaction',
+});
+
+/** All duties with their effects. */
+export const DUTIES: readonly DutyDefinition[] = [
+  {
+    name: 'rent',
+    claim: 'leader',
+    effects: [
+      conditional('rental intent'),
+      {
+        name: 'rental request',
+        fence: 'intent',
+        late: 'its name is in the intent; the successor repeats or abandons it, and a repeat rents nothing',
+      },
+      conditional('machine record'),
+    ],
+  },
+  {
+    name: 'release',
+    claim: 'leader',
+    effects: [
+      {
+        name: 'release request',
+        fence: 'intent',
+        late: 'the machine record asks for the release, and no holder places a task there again',
+      },
+      conditional('removal of machine records'),
+    ],
+  },
+  { name: 'adopt', claim: 'leader', effects: [conditional('machine record')] },
+  {
+    name: 'move',
+    claim: 'leader',
+    effects: [
+      {
+        name: 'order to the holder of a share',
+        fence: 'receiver',
+        late: 'refused: the holder has seen a higher token of the leader',
+      },
+    ],
+  },
+  {
+    name: 'reserve',
+    claim: 'leader',
+    effects: [
+      {
+        name: 'reservation in heartbeats',
+        fence: 'receiver',
+        late: 'read only from the node that the state service shows as the leader',
+      },
+    ],
+  },
+  { name: 'catalog', claim: 'leader', effects: [conditional('catalog')] },
+  { name: 'protocol-level', claim: 'leader', effects: [conditional('agreed protocol level')] },
+  {
+    name: 'reclaim',
+    claim: 'share',
+    effects: [
+      conditional('release intent in the machine record'),
+      {
+        name: 'order to return machines at once',
+        fence: 'receiver',
+        late: 'refused: the leader has seen a higher token of the share',
+      },
+    ],
+  },
+  {
+    name: 'clean-up',
+    claim: 'share',
+    effects: [conditional('mark for removal'), conditional('removal under the revision of each key')],
+  },
+  {
+    name: 'preempt',
+    claim: 'share',
+    effects: [
+      {
+        name: 'stop command',
+        fence: 'receiver',
+        late: 'refused by the worker: it has seen a higher token',
+      },
+    ],
+  },
+];
+
+/** The definition of a duty. */
+export const dutyDefinition = (name: DutyName): DutyDefinition => {
+  const found = DUTIES.find((duty) => duty.name === name);
+  if (!found) throw new Error(`no duty ${name}`);
+  return found;
+};
+
+/** Reads a duty's name; null: there is none of that name. */
+export const parseDutyName = (text: string): DutyName | null =>
+  DUTY_NAMES.find((name) => name === text) ?? null;
--- /dev/null
+++ b/packages/fencing/src/duty-state.ts
@@ -0,0 +1,68 @@
+import type { FencingToken } from './token.js';
+
+/** The state of one duty in one process. */
+export type DutyState =
+  /** This process does not hold the duty, and nothing that it began is under way. */
+  | { readonly _tag: 'idle' }
+  /** The claim is this process's; what an earlier holder left open is being settled first. */
+  | { readonly _tag: 'acquiring'; readonly token: FencingToken; readonly open: number }
+  /** The one current holder. */
+  | { readonly _tag: 'held'; readonly token: FencingToken; readonly open: number }
+  /** The right to act is in doubt: nothing begins, what is under way comes to its end. */
+  | { readonly _tag: 'draining'; readonly token: FencingToken; readonly open: number }
+  /** The claim is gone; calls of this process may still be under way. */
+  | { readonly _tag: 'lost'; readonly token: FencingToken; readonly open: number };
+
+/** What changes the state of a duty. */
+export type DutyEvent =
+  /** The state service shows the claim as this process's. */
+  | { readonly _tag: 'claimed'; readonly token: FencingToken }
+  /** Everything that earlier holders left open has been settled under this token. */
+  | { readonly _tag: 'settled'; readonly token: FencingToken }
+  /** The lease behind the claim may be over. */
+  | { readonly _tag: 'suspended' }
+  /** The lease was renewed after all, and the claim is still the same. */
+  | { readonly _tag: 'restored' }
+  /** The claim is another's, or nobody's. */
+  | { readonly _tag: 'released' }
+  | { readonly _tag: 'effectBegun'; readonly token: FencingToken }
+  | { readonly _tag: 'effectEnded'; readonly token: FencingToken };
+
+/** The token that this process last held the duty under. */
+export const tokenOfState = (state: DutyState): FencingToken | null =>
+  state._tag === 'idle' ? null : state.token;
+
+const countOpen = (state: DutyState, token: FencingToken, change: 1 | -1): DutyState => {
+  // Effects under an earlier token of this same process no longer belong to the present tenure.
+  if (state._tag === 'idle' || state.token !== token) return state;
+  const open = Math.max(0, state.open + change);
+  return state._tag === 'lost' && open === 0 ? { _tag: 'idle' } : { ...state, open };
+};
+
+const claimed = (state: DutyState, token: FencingToken): DutyState => {
+  // Tokens only rise: a claim that is shown late is older than what is known.
+  if (state._tag !== 'idle' && token <= state.token) return state;
+  return { _tag: 'acquiring', token, open: 0 };
+};
+
+/** The one place where the state of a duty changes. */
+export const nextDutyState = (state: DutyState, event: DutyEvent): DutyState => {
+  switch (event._tag) {
+    case 'claimed':
+      return claimed(state, event.token);
+    case 'settled':
+      return state._tag === 'acquiring' && state.token === event.token ? { ...state, _tag: 'held' } : state;
+    case 'suspended':
+      return state._tag === 'acquiring' || state._tag === 'held' ? { ...state, _tag: 'draining' } : state;
+    case 'restored':
+      // Nobody else acted meanwhile, since the claim is the same; reading open intents again is cheap and surely right.
+      return state._tag === 'draining' ? { ...state, _tag: 'acquiring' } : state;
+    case 'released':
+      if (state._tag === 'idle') return state;
+      return state.open === 0 ? { _tag: 'idle' } : { _tag: 'lost', token: state.token, open: state.open };
+    case 'effectBegun':
+      return countOpen(state, event.token, 1);
+    case 'effectEnded':
+      return countOpen(state, event.token, -1);
+  }
+};
--- /dev/null
+++ b/packages/fencing/src/fenced-value.ts
@@ -0,0 +1,41 @@
+import type { FencingToken } from './token.js';
+
+/** A value of the state service with its revision; revision 0: there is none yet. */
+export interface VersionedValue {
+  readonly value: unknown;
+  readonly revision: number;
+}
+
+/** The outcome of reading a value. */
+export type ReadOutcome =
+  | { readonly _tag: 'read'; readonly entry: VersionedValue }
+  | { readonly _tag: 'unavailable'; readonly reason: string };
+
+/** The outcome of a write that is conditional on a claim and on the value's revision. */
+export type WriteOutcome =
+  | { readonly _tag: 'written'; readonly revision: number }
+  /** The claim is not at this token any more: another holds the duty. */
+  | { readonly _tag: 'claimLost' }
+  /** The value, or something removed with it, has another revision. */
+  | { readonly _tag: 'changed'; readonly keys: readonly string[] }
+  /** Surely not carried out. */
+  | { readonly _tag: 'notCarriedOut'; readonly reason: string }
+  /** Carried out, or may be later, or neither. */
+  | { readonly _tag: 'unanswered'; readonly reason: string };
+
+/** A key that is removed together with a write, at the revision that was looked at. */
+export interface Removal {
+  readonly key: string;
+  readonly revision: number;
+}
+
+/** One value in the state service that only the holder of a claim may write. */
+export interface FencedValue {
+  readonly read: () => Promise<ReadOutcome>;
+  readonly write: (
+    value: unknown,
+    revision: number,
+    token: FencingToken,
+    removals?: readonly Removal[],
+  ) => Promise<WriteOutcome>;
+}
--- /dev/null
+++ b/packages/fencing/src/remover.ts
@@ -0,0 +1,165 @@
+import type { FencedValue } from './fenced-value.js';
+import {
+  dueForRemoval,
+  EMPTY_REMOVALS,
+  readRemovals,
+  withMarked,
+  withRemoved,
+  withUnmarked,
+  writeRemovals,
+  type MarkedKey,
+  type RemovalBook,
+  type RemovalReason,
+} from './removal.js';
+import type { Permit } from './duty.js';
+import type { FencingToken } from './token.js';
+
+/** A key that seems to be left over; revision null: not known, it has to be read. */
+export interface LeftOver {
+  readonly key: string;
+  readonly revision: number | null;
+  readonly reason: RemovalReason;
+}
+
+/** What a key's present revision is. */
+export type RevisionOutcome =
+  | { readonly _tag: 'revision'; readonly revision: number }
+  | { readonly _tag: 'absent' }
+  | { readonly _tag: 'unavailable' };
+
+/** What the remover needs of its share. */
+export interface RemoverInput {
+  readonly value: FencedValue;
+  /** Leave for one step; null: this process does not hold the duty now. */
+  readonly begin: () => Permit | null;
+  readonly revisionOf: (key: string) => Promise<RevisionOutcome>;
+  /** Looked at again just before the removal: does the key belong to something after all? */
+  readonly inUse: (key: string) => boolean;
+  /** Keys that one transaction may remove at the present rate. */
+  readonly batch: () => number;
+  /** ms since the epoch. */
+  readonly timeOfDay: () => number;
+  readonly removed: (keys: readonly MarkedKey[]) => void;
+}
+
+/** Marks and removes the left-over keys of one share, under one token. */
+export class Remover {
+  private book: RemovalBook = EMPTY_REMOVALS;
+  private revision = 0;
+  private loaded = false;
+  private readonly found: LeftOver[] = [];
+
+  constructor(private readonly input: RemoverInput) {}
+
+  /** Has these keys marked, and removed some time. */
+  discard(keys: readonly LeftOver[]): void {
+    this.found.push(...keys);
+  }
+
+  /** Is there anything to do now? */
+  get due(): boolean {
+    if (this.found.length > 0 || !this.loaded) return true;
+    return dueForRemoval(this.book, this.input.timeOfDay(), 1).length > 0;
+  }
+
+  /** One step: reads the book, marks a batch or removes one. */
+  async step(): Promise<void> {
+    const permit = this.input.begin();
+    if (permit === null) return;
+    try {
+      if (!this.loaded) await this.load();
+      else if (this.found.length > 0) await this.mark(permit.token);
+      else await this.removeDue(permit.token);
+    } finally {
+      permit.end();
+    }
+  }
+
+  private async load(): Promise<void> {
+    const outcome = await this.input.value.read();
+    if (outcome._tag === 'unavailable') return;
+    this.revision = outcome.entry.revision;
+    this.book = this.revision === 0 ? EMPTY_REMOVALS : readRemovals(outcome.entry.value);
+    this.loaded = true;
+  }
+
+  private async mark(token: FencingToken): Promise<void> {
+    const batch = this.found.splice(0, this.input.batch());
+    const marked: MarkedKey[] = [];
+    for (const leftOver of batch) {
+      const revision = await this.revisionOf(leftOver);
+      if (revision === null) this.found.push(leftOver);
+      else if (revision > 0)
+        marked.push({
+          key: leftOver.key,
+          revision,
+          reason: leftOver.reason,
+          token,
+          at: this.input.timeOfDay(),
+        });
+    }
+    if (marked.length === 0) return;
+    const written = await this.write(withMarked(this.book, marked), [], token);
+    if (!written) this.found.push(...batch.filter(({ key }) => marked.some((entry) => entry.key === key)));
+  }
+
+  /** 0: it is gone already; null: it could not be read. */
+  private async revisionOf(leftOver: LeftOver): Promise<number | null> {
+    if (leftOver.revision !== null) return leftOver.revision;
+    const outcome = await this.input.revisionOf(leftOver.key);
+    if (outcome._tag === 'unavailable') return null;
+    return outcome._tag === 'absent' ? 0 : outcome.revision;
+  }
+
+  private async removeDue(token: FencingToken): Promise<void> {
+    const now = this.input.timeOfDay();
+    const due = dueForRemoval(this.book, now, this.input.batch());
+    if (due.length === 0) return;
+    const again = new Set(due.filter(({ key }) => this.input.inUse(key)).map(({ key }) => key));
+    const gone = due.filter(({ key }) => !again.has(key));
+    const next = withRemoved(withUnmarked(this.book, again), gone, token, now);
+    if (await this.write(next, gone, token)) this.input.removed(gone);
+  }
+
+  /** True: written. Else it is tried again later, by whoever holds the duty then. */
+  private async write(next: RemovalBook, gone: readonly MarkedKey[], token: FencingToken): Promise<boolean> {
+    const outcome = await this.input.value.write(
+      writeRemovals(next),
+      this.revision,
+      token,
+      gone.map(({ key, revision }) => ({ key, revision })),
+    );
+    switch (outcome._tag) {
+      case 'written':
+        this.revision = outcome.revision;
+        this.book = next;
+        return true;
+      case 'changed':
+        await this.lookAgain(new Set(outcome.keys), gone);
+        return false;
+      case 'claimLost':
+      case 'notCarriedOut':
+        return false;
+      case 'unanswered':
+        // Carried out or not: the book says, since it changes with every write.
+        this.loaded = false;
+        return false;
+    }
+  }
+
+  /** Keys whose revision changed since they were marked are not removed: one that still exists is marked anew. */
+  private async lookAgain(changed: ReadonlySet<string>, gone: readonly MarkedKey[]): Promise<void> {
+    const affected = gone.filter(({ key }) => changed.has(key));
+    if (affected.length === 0) {
+      this.loaded = false;
+      return;
+    }
+    this.book = withUnmarked(this.book, new Set(affected.map(({ key }) => key)));
+    for (const { key, reason } of affected) {
+      const outcome = await this.input.revisionOf(key);
+      if (outcome._tag === 'absent') continue;
+      const revision = outcome._tag === 'revision' ? outcome.revision : null;
+      if (!this.input.inUse(key)) this.found.push({ key, revision, reason });
+    }
+  }
+}
--- /dev/null
+++ b/packages/fencing/src/rental-journal.test.ts
@@ -0,0 +1,152 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  INTENT_FRESH_MS,
+  readBook,
+  settlementsFor,
+  writeBook,
+  EMPTY_BOOK,
+  type RentalIntent,
+} from './rental-intent.js';
+import { RentalJournal } from './rental-journal.js';
+import { MemoryValue, type NextWrite } from './testing/memory-value.js';
+import { tokenOf } from './token.js';
+
+const token = tokenOf(5);
+const intent = (name: string, at = 0): RentalIntent => ({
+  name,
+  machineType: 'g8',
+  zone: 'a',
+  spot: true,
+  shares: [0, 2],
+  at,
+});
+
+const journalOn = async (value: MemoryValue, under = token): Promise<RentalJournal> => {
+  const journal = new RentalJournal({
+    value,
+    timeOfDay: () => 0,
+    sleep: () => new Promise((resolve) => setImmediate(resolve)),
+  });
+  assert.ok(await journal.load(under));
+  return journal;
+};
+const settle = async (): Promise<void> => {
+  for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+};
+const stored = (value: MemoryValue): readonly string[] =>
+  value.entry.revision === 0 ? [] : readBook(value.entry.value).open.map(({ name }) => name);
+
+const opened: readonly { name: string; next: NextWrite; outcome: string; durable: readonly string[] }[] = [
+  { name: 'written before it is sent', next: 'normal', outcome: 'announced', durable: ['r-5-1'] },
+  { name: 'only the answer is lost', next: 'answer lost', outcome: 'announced', durable: ['r-5-1'] },
+  { name: 'held up: the same is sent again', next: 'late', outcome: 'announced', durable: ['r-5-1'] },
+  { name: 'refused: nothing may be sent', next: 'refused', outcome: 'unavailable', durable: [] },
+];
+for (const row of opened) {
+  test(`rental journal: ${row.name}`, async () => {
+    const value = new MemoryValue(token);
+    const journal = await journalOn(value);
+    value.next = row.next;
+    assert.equal(await journal.open(intent('r-5-1')), row.outcome);
+    assert.deepEqual(stored(value), row.durable);
+    assert.deepEqual(
+      value.deliverLate().map(({ _tag }) => _tag),
+      row.next === 'late' ? ['changed'] : [],
+      'a late copy changes nothing',
+    );
+  });
+}
+
+test('rental journal: requests of one turn share a write, and outcomes go along with the next', async () => {
+  const value = new MemoryValue(token);
+  const journal = await journalOn(value);
+  await Promise.all(['r-5-1', 'r-5-2', 'r-5-3'].map((name) => journal.open(intent(name))));
+  assert.equal(value.writes, 1);
+  journal.close('r-5-1', 'rented', 2);
+  journal.close('r-5-2', 'no capacity');
+  await journal.open(intent('r-5-4'));
+  assert.equal(value.writes, 2);
+  assert.deepEqual(stored(value), ['r-5-3', 'r-5-4']);
+  await settle();
+  assert.equal(value.writes, 2, 'nothing is left to say');
+});
+
+test('rental journal: a replaced holder announces nothing', async () => {
+  const value = new MemoryValue(token);
+  const journal = await journalOn(value);
+  value.claim = tokenOf(9);
+  assert.equal(await journal.open(intent('r-5-1')), 'claim lost');
+  assert.deepEqual(stored(value), []);
+});
+
+test('rental journal: what was given up without an answer and applied late is taken back', async () => {
+  // Its request was never sent; a successor that found it open would rent machines that nobody asked for.
+  const value = new MemoryValue(token);
+  const journal = await journalOn(value);
+  const write = value.write;
+  let tries = 0;
+  Object.assign(value, {
+    write: (...args: Parameters<typeof write>) => {
+      tries += 1;
+      if (tries <= 4) value.next = 'late';
+      return write(...args);
+    },
+  });
+  assert.equal(await journal.open(intent('r-5-1')), 'unavailable');
+  assert.equal(value.deliverLate()[0]?._tag, 'written');
+  assert.equal(await journal.open(intent('r-5-2')), 'unavailable', 'the condition failed: read anew');
+  assert.equal(await journal.open(intent('r-5-3')), 'announced');
+  assert.deepEqual(stored(value), ['r-5-3']);
+});
+
+test('rental journal: a successor finds what was left open, fresh or not', async () => {
+  const value = new MemoryValue(token);
+  await (await journalOn(value)).open(intent('r-5-1', 0));
+  value.claim = tokenOf(9);
+  const successor = await journalOn(value, tokenOf(9));
+  const ages: readonly { now: number; how: string }[] = [
+    { now: INTENT_FRESH_MS, how: 'repeat' },
+    { now: INTENT_FRESH_MS + 1, how: 'abandon' },
+    // Its holder's clock was ahead.
+    { now: -60_000, how: 'repeat' },
+  ];
+  for (const { now, how } of ages)
+    assert.deepEqual(
+      settlementsFor(successor.current, now).map(({ _tag, intent: left }) => [_tag, left.name]),
+      [[how, 'r-5-1']],
+    );
+});
+
+const good = { n: 'r-1-1', b: 'g8', z: 'a', p: false, s: [0], a: 1 };
+const malformed: readonly { name: string; value: unknown; open: number; aside: number }[] = [
+  { name: 'no map', value: 'x', open: 0, aside: 1 },
+  { name: 'no token', value: { o: [good] }, open: 0, aside: 1 },
+  { name: 'a token that is no integer', value: { t: 1.5, o: [good] }, open: 0, aside: 1 },
+  {
+    name: 'entries without names or counts',
+    value: { t: 1, o: [good, { ...good, n: '' }, { ...good, s: [] }, 3] },
+    open: 1,
+    aside: 3,
+  },
+  { name: 'a share that is no number', value: { t: 1, o: [{ ...good, s: ['0'] }] }, open: 0, aside: 1 },
+];
+for (const row of malformed) {
+  test(`rental intents, malformed: ${row.name}`, () => {
+    const book = readBook(row.value);
+    assert.equal(book.open.length, row.open);
+    assert.equal(book.malformed.length, row.aside, 'kept aside, never acted on');
+    assert.equal(readBook(writeBook(book, token)).malformed.length, row.aside, 'and still there');
+  });
+}
+
+test('rental intents: written and read back, with as many outcomes as are kept', () => {
+  const settledRentals = Array.from({ length: 24 }, (_, n) => ({
+    name: `r-1-${n}`,
+    outcome: 'rented' as const,
+    machines: 1,
+    at: n,
+  }));
+  const book = { ...EMPTY_BOOK, token, open: [intent('r-5-1')], settled: settledRentals };
+  assert.deepEqual(readBook(JSON.parse(JSON.stringify(writeBook(book, token)))), book);
+});
