--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,89 @@
+import { existsSync, readFileSync } from 'node:fs';
+import { parseArgs, type ParseArgsConfig } from 'node:util';
+import { checkFeatures, NO_FEATURES, type Features } from '../settings/features.js';
+import { checkSettings, type Settings } from '../settings/schema.js';
+
+/** Exit codes: 1, the service could not be asked or answered with an error; 2, a bad argument or file. */
+export const EXIT_FAILED = 1;
+/** See {@link EXIT_FAILED}. */
+export const EXIT_USAGE = 2;
+
+const USAGE = `usage: dalegate --config FILE [--features FILE]
+       dalegate duties [NAME] --node HOST:PORT [--json]
+
+  --config FILE     run a controller with the platform's settings
+  --features FILE   subsystems to switch on; deploy/features.toml of the installation unless given
+  duties [NAME]     who holds which duty, open intents and refused effects, as a controller sees them
+  --node HOST:PORT  the API address of any controller
+  --json            print the answer as it is
+
+examples: dalegate --config settings.json
+          dalegate duties rent --node 10.0.0.1:8080
+`;
+
+const OPTIONS = {
+  config: { type: 'string' },
+  features: { type: 'string' },
+  node: { type: 'string' },
+  json: { type: 'boolean' },
+  help: { type: 'boolean' },
+} as const satisfies ParseArgsConfig['options'];
+
+/** The file that the installation comes with: beside `target/`, in which the bundle lies two levels down. */
+const INSTALLED_FEATURES = new URL('../../deploy/features.toml', import.meta.url);
+
+const fail = (message: string, code: number): never => {
+  process.stderr.write(message.endsWith('\n') ? message : `${message}\n`);
+  process.exit(code);
+};
+
+const readSettings = (file: string): Settings => {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    return fail(`settings: ${(error as Error).message}`, EXIT_USAGE);
+  }
+  const checked = checkSettings(text);
+  return checked._tag === 'ok' ? checked.settings : fail(checked.message, EXIT_USAGE);
+};
+
+const readFeatures = (file: string | undefined): Features => {
+  const from = file ?? INSTALLED_FEATURES;
+  if (file === undefined && !existsSync(from)) return NO_FEATURES;
+  let text: string;
+  try {
+    text = readFileSync(from, 'utf8');
+  } catch (error) {
+    return fail(`features: ${(error as Error).message}`, EXIT_USAGE);
+  }
+  const checked = checkFeatures(text);
+  return checked._tag === 'ok' ? checked.features : fail(checked.message, EXIT_USAGE);
+};
+
+/** Runs the program. What a command needs beyond the settings is loaded only when it is asked for. */
+export const main = async (args: readonly string[]): Promise<void> => {
+  let parsed;
+  try {
+    parsed = parseArgs({ args: [...args], options: OPTIONS, allowPositionals: true });
+  } catch (error) {
+    return fail(`${(error as Error).message}\n\n${USAGE}`, EXIT_USAGE);
+  }
+  const { values, positionals } = parsed;
+  if (values.help) {
+    process.stdout.write(USAGE);
+    return;
+  }
+  const [command, name] = positionals;
+  if (command === 'duties') {
+    if (values.node === undefined) return fail(`duties: --node HOST:PORT is missing\n\n${USAGE}`, EXIT_USAGE);
+    const { printDuties } = await import('./duties.js');
+    process.exitCode = await printDuties(values.node, name, values.json ?? false);
+    return;
+  }
+  if (command !== undefined || values.config === undefined) return fail(USAGE, EXIT_USAGE);
+  const settings = readSettings(values.config);
+  const features = readFeatures(values.features);
+  const { start } = await import('../start.js');
+  await start(settings, features);
+};
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -271,6 +271,10 @@
 export const NO_CAPACITY_MAX_MS = 60_000;
 /** Rental requests under way at once; the cloud's rate bounds them too. */
 export const RENTS_AT_ONCE = 4;
+/** Times that a rental request without an answer is sent again under its name, which tells what became of it. */
+export const RENT_REPEATS = 2;
+/** ms: between tries to settle what an earlier leader left open. */
+export const SETTLE_RETRY_MS = 500;
 /** Machines in one rental request (protocol). */
 export const HIRE_MAX = 50;
 /** Names in one release (protocol). */
@@ -284,8 +288,11 @@
 export const FINAL_CACHE = 2_000;
 
 /** What this version understands of what nodes say to each other: 1, it acknowledges cancellations (`/heed`), tells a user
- *  of one only once its holder can't fail to act on it, and understands jobs that follow others. Versions before that say nothing, and count as 0. */
-export const PROTOCOL_VERSION = 1;
+ *  of one only once its holder can't fail to act on it, and understands jobs that follow others; 2, its orders to other
+ *  controllers carry fencing tokens. Versions before that say nothing, and count as 0. */
+export const PROTOCOL_VERSION = 2;
+/** The level from which orders between controllers carry fencing tokens. */
+export const PROTOCOL_FENCED_ORDERS = 2;
 /** The level from which a node acknowledges cancellations. */
 export const PROTOCOL_ACKNOWLEDGES_CANCELLATIONS = 1;
 /** The level from which a node understands jobs that follow others. */
--- /dev/null
+++ b/src/duties/admin-api.ts
@@ -0,0 +1,97 @@
+import {
+  dutyDefinition,
+  parseDutyName,
+  DUTY_NAMES,
+  type Duty,
+  type DutyName,
+  type HoldingPeriod,
+  type Refusal,
+  type RentalBook,
+} from '@dalegate/fencing';
+import type { Call, Reply } from '../http.js';
+import type { DutyRegistry } from './registry.js';
+
+/** What the endpoint needs of its controller. */
+export interface DutiesApiInput {
+  readonly node: string;
+  readonly registry: DutyRegistry;
+  /** This node has read the claims. */
+  readonly ready: () => boolean;
+  /** Machines that a holder wants released, which is a durable intent. */
+  readonly releaseIntents: () => readonly string[];
+  /** Open rental requests, as the state service holds them; null: it does not answer. */
+  readonly rentals: () => Promise<RentalBook | null>;
+}
+
+/** One duty on one claim, as an operator reads it. */
+export interface DutyView {
+  readonly duty: DutyName;
+  readonly claim: string;
+  readonly state: string;
+  readonly holder: HoldingPeriod | null;
+  readonly history: readonly HoldingPeriod[];
+  readonly effects: readonly { readonly name: string; readonly fence: string; readonly late: string }[];
+  readonly refused: readonly Refusal[];
+}
+
+/** The answer to `GET /admin/v1/duties`. */
+export interface DutiesView {
+  readonly node: string;
+  readonly duties: readonly DutyView[];
+  readonly openRentals: RentalBook['open'] | null;
+  readonly settledRentals: RentalBook['settled'] | null;
+  readonly malformedIntents: RentalBook['malformed'] | null;
+  readonly releaseIntents: readonly string[];
+  readonly refusedSinceStart: number;
+}
+
+const json = (status: number, body: unknown): Reply => ({
+  status,
+  text: `${JSON.stringify(body)}\n`,
+  headers: { 'content-type': 'application/json' },
+});
+
+/** Reads duties, holders and open intents; changes nothing. */
+export class DutiesApi {
+  constructor(private readonly input: DutiesApiInput) {}
+
+  async handle(call: Call, path: readonly string[]): Promise<Reply> {
+    if (call.method !== 'GET') return { ...json(405, { error: 'read only' }), headers: { allow: 'GET' } };
+    if (!this.input.ready()) return json(503, { error: 'this controller has not read the claims yet' });
+    const [name, ...rest] = path;
+    if (name === undefined) return json(200, await this.overview());
+    const duty = rest.length === 0 ? parseDutyName(name) : null;
+    if (duty === null)
+      return json(404, { error: `no duty is called "${path.join('/')}"`, duties: DUTY_NAMES });
+    const views = this.input.registry.all().filter((entry) => entry.name === duty);
+    return json(200, { node: this.input.node, duties: views.map((entry) => this.view(entry)) });
+  }
+
+  private async overview(): Promise<DutiesView> {
+    const { registry } = this.input;
+    const rentals = await this.input.rentals();
+    return {
+      node: this.input.node,
+      duties: registry.all().map((duty) => this.view(duty)),
+      openRentals: rentals?.open ?? null,
+      settledRentals: rentals?.settled ?? null,
+      malformedIntents: rentals?.malformed ?? null,
+      releaseIntents: this.input.releaseIntents(),
+      refusedSinceStart: registry.audit.refusalCount,
+    };
+  }
+
+  private view(duty: Duty): DutyView {
+    const { audit } = this.input.registry;
+    const periods = audit.periods(duty.claim);
+    return {
+      duty: duty.name,
+      claim: duty.claim,
+      state: duty.state._tag,
+      holder: periods.find((period) => period.to === null) ?? null,
+      history: periods.filter((period) => period.to !== null),
+      effects: dutyDefinition(duty.name).effects,
+      refused: audit.refused(duty.name).filter((refusal) => refusal.claim === duty.claim),
+    };
+  }
+}
--- /dev/null
+++ b/src/duties/compose.ts
@@ -0,0 +1,46 @@
+import { EMPTY_BOOK, readBook, RentalJournal, type RentalBook } from '@dalegate/fencing';
+import { LEADER } from '../claims/decide.js';
+import type { Store } from '../store/client.js';
+import { RENTALS_KEY } from '../store/keys.js';
+import { fencedValue } from './fenced-store.js';
+import { OrderGate } from './order-gate.js';
+import { DutyRegistry, type DutyRegistryInput } from './registry.js';
+
+/** What the duties need of their controller. */
+export interface DutiesInput extends DutyRegistryInput {
+  readonly store: Store;
+  /** Every controller sends fencing tokens with its orders. */
+  readonly tokensRequired: () => boolean;
+}
+
+/** The duties of one controller, with what guards them. */
+export interface Duties {
+  readonly registry: DutyRegistry;
+  readonly gate: OrderGate;
+  /** Null where fencing is off: requests are sent without being announced. */
+  readonly journal: RentalJournal | null;
+  /** Open rental requests, as the state service holds them; null: it does not answer. */
+  readonly readRentals: () => Promise<RentalBook | null>;
+}
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Composes the duties of one controller. */
+export const composeDuties = (input: DutiesInput): Duties => {
+  const { store, wall, enforce, tokensRequired } = input;
+  const registry = new DutyRegistry(input);
+  const rentals = fencedValue(store, RENTALS_KEY, LEADER, 'user');
+  return {
+    registry,
+    gate: new OrderGate({ audit: registry.audit, tokensRequired, enforce }),
+    journal: enforce ? new RentalJournal({ value: rentals, timeOfDay: wall, sleep }) : null,
+    readRentals: async () => {
+      const outcome = await rentals.read();
+      if (outcome._tag === 'unavailable') return null;
+      return outcome.entry.revision === 0 ? EMPTY_BOOK : readBook(outcome.entry.value);
+    },
+  };
+};
--- /dev/null
+++ b/src/duties/fenced-store.ts
@@ -0,0 +1,60 @@
+import type { FencedValue, FencingToken, Permit, ReadOutcome, WriteOutcome } from '@dalegate/fencing';
+import * as Effect from 'effect/Effect';
+import type { Condition, Store, TxnResult, Write } from '../store/client.js';
+import { claimKey } from '../store/keys.js';
+import type { Rank } from '../store/rate-limiter.js';
+
+/** A transaction of a duty: the claim that the permit stands for is always among its conditions. */
+export const fencedTransaction = (
+  store: Store,
+  permit: Pick<Permit, 'claim' | 'token'>,
+  when: readonly Condition[],
+  writes: readonly Write[],
+  rank: Rank,
+): Effect.Effect<TxnResult> =>
+  store.txn([{ key: claimKey(permit.claim), version: permit.token }, ...when], writes, rank);
+
+/** What became of a write of a value that only the holder of a claim may write. */
+const readWriteOutcome = (result: TxnResult, claim: string): WriteOutcome => {
+  switch (result._tag) {
+    case 'committed':
+      return { _tag: 'written', revision: result.revision };
+    case 'conflict':
+      return result.failed.includes(claimKey(claim))
+        ? { _tag: 'claimLost' }
+        : { _tag: 'changed', keys: result.failed };
+    case 'noLease':
+      return { _tag: 'claimLost' };
+    case 'refused':
+      return { _tag: 'notCarriedOut', reason: result.why };
+    case 'unknown':
+      return { _tag: 'unanswered', reason: result.why };
+  }
+};
+
+/** One key of the state service, written under a claim only. */
+export const fencedValue = (store: Store, key: string, claim: string, rank: Rank): FencedValue => ({
+  read: async (): Promise<ReadOutcome> => {
+    const result = await Effect.runPromise(store.get(key, 'user'));
+    switch (result._tag) {
+      case 'found':
+        return { _tag: 'read', entry: { value: result.item.value, revision: result.item.version } };
+      case 'absent':
+        return { _tag: 'read', entry: { value: null, revision: 0 } };
+      case 'failed':
+        return { _tag: 'unavailable', reason: result.why };
+    }
+  },
+  write: async (value, revision, token: FencingToken, removals = []): Promise<WriteOutcome> => {
+    const when = [
+      { key, version: revision },
+      ...removals.map((removal) => ({ key: removal.key, version: removal.revision })),
+    ];
+    const writes: Write[] = [
+      { _tag: 'put', key, value },
+      ...removals.map((removal): Write => ({ _tag: 'delete', key: removal.key })),
+    ];
+    const result = await Effect.runPromise(fencedTransaction(store, { claim, token }, when, writes, rank));
+    return readWriteOutcome(result, claim);
+  },
+});
--- /dev/null
+++ b/src/duties/order-gate.ts
@@ -0,0 +1,40 @@
+import { parseToken, TokenRegister, tokenOf, type DutyAudit, type DutyName } from '@dalegate/fencing';
+
+/** Whether an order of another controller is carried out. */
+export type OrderVerdict =
+  | { readonly _tag: 'accepted' }
+  /** The token is malformed: 400 with the field. */
+  | { readonly _tag: 'malformed'; readonly field: string; readonly reason: string }
+  /** The sender was replaced: 409 with the current holder's token. */
+  | { readonly _tag: 'stale'; readonly current: number };
+
+/** What the gate needs of its controller. */
+export interface OrderGateInput {
+  readonly audit: DutyAudit;
+  /** Every controller sends tokens with its orders, so one without is malformed. */
+  readonly tokensRequired: () => boolean;
+  readonly enforce: boolean;
+}
+
+/** Checks the fencing tokens of orders that controllers send each other. */
+export class OrderGate {
+  private readonly register = new TokenRegister();
+
+  constructor(private readonly input: OrderGateInput) {}
+
+  /** The state service shows this revision of a claim. */
+  seen(claim: string, revision: number): void {
+    this.register.note(claim, tokenOf(revision));
+  }
+
+  check(duty: DutyName, claim: string, effect: string, raw: unknown): OrderVerdict {
+    if (!this.input.enforce || (raw === undefined && !this.input.tokensRequired()))
+      return { _tag: 'accepted' };
+    const parsed = parseToken(raw, 'token');
+    if (parsed._tag === 'invalid') return { _tag: 'malformed', field: parsed.field, reason: parsed.reason };
+    const verdict = this.register.check(claim, parsed.token);
+    if (verdict._tag === 'accepted') return verdict;
+    this.input.audit.refuse({ duty, claim, effect, token: parsed.token, reason: 'stale order' });
+    return { _tag: 'stale', current: verdict.current };
+  }
+}
--- /dev/null
+++ b/src/fleet/catalog-keeper.ts
@@ -0,0 +1,76 @@
+import type { Duty } from '@dalegate/fencing';
+import * as Effect from 'effect/Effect';
+import { CATALOG_MS, CLOUD_RETRY_MS, VALUE_FILL } from '../constants.js';
+import { fencedTransaction } from '../duties/fenced-store.js';
+import type { Catalog } from '../jobs/model.js';
+import { log } from '../log.js';
+import type { Store, Write } from '../store/client.js';
+import { CATALOG_KEY } from '../store/keys.js';
+import type { WatchCache } from '../store/watch-cache.js';
+import { readStored, storeCatalog } from './catalog.js';
+import type { Cloud } from './cloud.js';
+
+/** What the keeper needs of the leader. */
+export interface CatalogKeeperInput {
+  readonly store: Store;
+  readonly cache: WatchCache;
+  readonly cloud: Cloud;
+  readonly duty: Duty;
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
+  /** Every node reads records that are parted. */
+  readonly maySplit: () => boolean;
+  readonly catalog: () => Catalog | null;
+  readonly now: () => number;
+}
+
+/** Keeps the durable copy of the cloud's catalog: the leader refreshes it, anyone makes it while there is none. */
+export class CatalogKeeper {
+  private readAt = 0;
+
+  constructor(private readonly input: CatalogKeeperInput) {}
+
+  private due(leads: boolean): boolean {
+    const known = this.input.catalog() !== null;
+    if (!this.input.cache.ready || (known && !leads)) return false;
+    return this.readAt === 0 || this.input.now() - this.readAt >= (known ? CATALOG_MS : CLOUD_RETRY_MS);
+  }
+
+  readonly refresh: Effect.Effect<void> = Effect.gen({ self: this }, function* () {
+    if (!this.due(this.input.duty.state._tag === 'held')) return;
+    this.readAt = this.input.now();
+    const result = yield* this.input.cloud.catalog;
+    if (result._tag === 'failed') {
+      log.info({ event: 'catalog.failed', why: result.why });
+      return;
+    }
+    const known = this.input.cache.get(CATALOG_KEY);
+    const before = known ? readStored(known, (key) => this.input.cache.get(key)) : null;
+    if (before && JSON.stringify(before) === JSON.stringify(result.types)) return;
+    const writes = storeCatalog(
+      result.types,
+      this.input.valueBytes * VALUE_FILL,
+      this.input.store.txnOps,
+      this.input.maySplit(),
+    );
+    if (writes === null) {
+      log.error({ event: 'catalog.too_long', types: result.types.length });
+      return;
+    }
+    yield* this.write(writes, known?.version ?? 0);
+  });
+
+  private write(writes: readonly Write[], version: number): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const when = [{ key: CATALOG_KEY, version }];
+      const permit = this.input.duty.begin('catalog');
+      if (permit) {
+        yield* fencedTransaction(this.input.store, permit, when, writes, 'user');
+        permit.end();
+      } else if (this.input.catalog() === null) {
+        // Without a catalog no node is ready, and there is nothing that a late copy could take the place of.
+        yield* this.input.store.txn(when, writes, 'user');
+      }
+    });
+  }
+}
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -1,6 +1,7 @@
+import type { Permit } from '@dalegate/fencing';
 import * as Effect from 'effect/Effect';
 import { CLOUD_TIMEOUT_MS } from '../constants.js';
-import type { Caller, Callers, Target } from '../http.js';
+import type { Answer, Caller, Callers, Target } from '../http.js';
 import type { MachineType } from '../jobs/model.js';
 import { RateLimiter } from '../store/rate-limiter.js';
 
@@ -23,6 +24,8 @@
   | { readonly _tag: 'noCapacity' }
   /** Not carried out, as far as the answer says. */
   | { readonly _tag: 'refused'; readonly why: string }
+  /** Not sent: this process lost the right to send it while it waited. */
+  | { readonly _tag: 'withheld' }
   /** May have been carried out, or may be later. */
   | { readonly _tag: 'unknown'; readonly why: string };
 /** A page of the machine list. */
@@ -65,6 +68,15 @@
     zones: type.paddocks,
   }));
 
+const readRental = (answer: Answer): RentResult => {
+  if (answer._tag === 'silence')
+    return answer.sent === false ? { _tag: 'withheld' } : { _tag: 'unknown', why: answer.why };
+  const body = answer.body as { drovers?: string[]; error?: string } | null;
+  if (answer.status === 200) return { _tag: 'rented', machines: body?.drovers ?? [] };
+  if (answer.status === 503 && body?.error === 'no capacity') return { _tag: 'noCapacity' };
+  return { _tag: 'refused', why: `status ${answer.status} ${body?.error ?? ''}` };
+};
+
 const STATES: Record<string, ListedMachine['state']> = {
   starting: 'booting',
   running: 'running',
@@ -81,9 +93,11 @@
     this.budget = new RateLimiter(rps * (nodes > 1 ? 0.8 : 1), 0, CLOUD_TIMEOUT_MS, now);
   }
 
-  private async call(method: string, path: string, body: unknown) {
-    if (!(await this.budget.take(1, 'user'))) return { _tag: 'answer' as const, status: 429, body: null };
-    return this.client.request(method, path, body, CLOUD_TIMEOUT_MS);
+  private async call(method: string, path: string, body: unknown, permit?: Permit): Promise<Answer> {
+    if (!(await this.budget.take(1, 'user'))) return { _tag: 'answer', status: 429, body: null };
+    return permit
+      ? this.client.request(method, path, body, CLOUD_TIMEOUT_MS, permit.mayProceed)
+      : this.client.request(method, path, body, CLOUD_TIMEOUT_MS);
   }
 
   readonly catalog: Effect.Effect<CatalogResult> = Effect.promise(async (): Promise<CatalogResult> => {
@@ -93,27 +107,24 @@
     return { _tag: 'types', types: readTypes((answer.body as { breeds: RawType[] }).breeds) };
   });
 
-  rent(request: RentRequest): Effect.Effect<RentResult> {
+  rent(request: RentRequest, permit: Permit): Effect.Effect<RentResult> {
     return Effect.promise(async (): Promise<RentResult> => {
-      const answer = await this.call('POST', '/machines', {
+      const body = {
         hire: request.name,
         breed: request.type,
         paddock: request.zone,
         agistment: request.spot,
         howMany: request.count,
-      });
-      if (answer._tag === 'silence') return { _tag: 'unknown', why: answer.why };
-      const body = answer.body as { drovers?: string[]; error?: string } | null;
-      if (answer.status === 200) return { _tag: 'rented', machines: body?.drovers ?? [] };
-      if (answer.status === 503 && body?.error === 'no capacity') return { _tag: 'noCapacity' };
-      return { _tag: 'refused', why: `status ${answer.status} ${body?.error ?? ''}` };
+      };
+      const answer = await this.call('POST', '/machines', body, permit);
+      return readRental(answer);
     });
   }
 
   /** True: by the time of the answer these machines and all on them are gone. */
-  release(ids: readonly string[]): Effect.Effect<boolean> {
+  release(ids: readonly string[], permit: Permit): Effect.Effect<boolean> {
     return Effect.promise(async () => {
-      const answer = await this.call('POST', '/machines/release', { drovers: ids });
+      const answer = await this.call('POST', '/machines/release', { drovers: ids }, permit);
       return answer._tag === 'answer' && answer.status === 200;
     });
   }
--- a/src/fleet/leader.test.ts
+++ b/src/fleet/leader.test.ts
@@ -5,6 +5,7 @@
 import type { Callers } from '../http.js';
 import { Store } from '../store/client.js';
 import { WatchCache } from '../store/watch-cache.js';
+import { leaderDuties } from '../testing/duties.js';
 import { StateStandIn } from '../testing/state-stand-in.js';
 import { Cloud } from './cloud.js';
 import { Leader } from './leader.js';
@@ -65,6 +66,8 @@
       store,
       cache,
       cloud: new Cloud({ host: 'cloud', port: 1 }, 2, 1, now, callers),
+      duties: leaderDuties(1, now),
+      journal: null,
       shares: 3,
       valueBytes: 16 * 1024,
       maySplit: () => true,
--- /dev/null
+++ b/src/fleet/machine-recorder.ts
@@ -0,0 +1,42 @@
+import type { Permit } from '@dalegate/fencing';
+import * as Effect from 'effect/Effect';
+import { fencedTransaction } from '../duties/fenced-store.js';
+import type { Store, TxnResult } from '../store/client.js';
+import { machineKey } from '../store/keys.js';
+import { writeMachineRecord, type MachineRecord } from './records.js';
+
+/** A machine with the record that it is to have. */
+export type NewMachine = readonly [id: string, record: MachineRecord];
+
+/** Writes the records of machines that are new to the service. */
+export class MachineRecorder {
+  /** By share: summaries older than this revision don't know of machines recorded since. */
+  private readonly recordedAt = new Map<number, number>();
+
+  constructor(private readonly store: Store) {}
+
+  /** Records of new machines, as many as fit in one transaction. */
+  record(permit: Permit, machines: readonly NewMachine[]): Effect.Effect<TxnResult['_tag']> {
+    return Effect.gen({ self: this }, function* () {
+      const result = yield* fencedTransaction(
+        this.store,
+        permit,
+        machines.map(([id]) => ({ key: machineKey(id), version: 0 })),
+        machines.map(([id, record]) => ({
+          _tag: 'put',
+          key: machineKey(id),
+          value: writeMachineRecord(record),
+        })),
+        'bind',
+      );
+      if (result._tag === 'committed')
+        for (const [, record] of machines) this.recordedAt.set(record.share, result.revision);
+      return result._tag;
+    });
+  }
+
+  /** Does a summary of this revision know of all machines that were recorded for the share? */
+  knows(share: number, revision: number): boolean {
+    return revision >= (this.recordedAt.get(share) ?? 0);
+  }
+}
--- /dev/null
+++ b/src/fleet/renter.ts
@@ -0,0 +1,222 @@
+import {
+  settlementsFor,
+  type Duty,
+  type Permit,
+  type RentalIntent,
+  type RentalJournal,
+  type RentalOutcome,
+  type Settlement,
+} from '@dalegate/fencing';
+import * as Effect from 'effect/Effect';
+import { RENT_REPEATS, RENTS_AT_ONCE, SETTLE_RETRY_MS } from '../constants.js';
+import { log } from '../log.js';
+import type { Store } from '../store/client.js';
+import type { AdoptionQueue } from './adoption-queue.js';
+import type { CapacityRefusals } from './capacity-refusals.js';
+import type { Cloud, RentRequest, RentResult } from './cloud.js';
+import { kindKey } from './machine-index.js';
+import type { MachineRecorder, NewMachine } from './machine-recorder.js';
+import type { Step } from './plan.js';
+
+/** A step of the leader's plan that rents machines. */
+export type RentStep = Step & { readonly _tag: 'rent' };
+
+/** What the renter needs of the leader. */
+export interface RenterInput {
+  readonly store: Store;
+  readonly cloud: Cloud;
+  readonly duty: Duty;
+  /** Announces requests durably before they are sent; null: they are sent at once. */
+  readonly journal: RentalJournal | null;
+  readonly recorder: MachineRecorder;
+  readonly adopting: AdoptionQueue;
+  readonly refusals: CapacityRefusals;
+  /** ms since the epoch. */
+  readonly wall: () => number;
+}
+
+const OUTCOMES: Readonly<Record<RentResult['_tag'], RentalOutcome>> = {
+  rented: 'rented',
+  noCapacity: 'no capacity',
+  refused: 'refused',
+  withheld: 'withheld',
+  unknown: 'unanswered',
+};
+
+const requestOf = (intent: RentalIntent): RentRequest => ({
+  name: intent.name,
+  type: intent.machineType,
+  zone: intent.zone,
+  spot: intent.spot,
+  count: intent.shares.length,
+});
+
+/** Rents machines: one request a kind at a time, each under a name that is never used for another. */
+export class Renter {
+  private sequence = 0;
+  /** Kinds of machines that are being rented this very moment. */
+  private readonly renting = new Set<string>();
+
+  constructor(private readonly input: RenterInput) {}
+
+  /** Rents what the plan asks for, beside what is under way already. */
+  begin(step: RentStep): void {
+    const kind = kindKey(step.type, step.zone, step.spot);
+    // What is asked for already shows in the next summaries.
+    if (this.renting.has(kind) || this.renting.size >= RENTS_AT_ONCE) return;
+    const permit = this.input.duty.begin('rental request');
+    if (permit === null) return;
+    this.renting.add(kind);
+    const done = Effect.sync(() => {
+      this.renting.delete(kind);
+      permit.end();
+    });
+    Effect.runFork(Effect.ensuring(this.rent(permit, this.intentOf(permit, step)), done));
+  }
+
+  private intentOf(permit: Permit, step: RentStep): RentalIntent {
+    this.sequence += 1;
+    return {
+      // The claim's revision is durable and belongs to this process alone: such a name is never used twice.
+      name: `r-${permit.token}-${this.sequence}`,
+      machineType: step.type,
+      zone: step.zone,
+      spot: step.spot,
+      shares: Array.from({ length: step.count }, (_, index) => step.shares[index] ?? 0),
+      at: this.input.wall(),
+    };
+  }
+
+  private rent(permit: Permit, intent: RentalIntent): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { journal } = this.input;
+      const kind = kindKey(intent.machineType, intent.zone, intent.spot);
+      if (journal) {
+        const announced = yield* Effect.promise(() => journal.open(intent));
+        if (announced !== 'announced') {
+          log.info({ event: 'machine.rent_not_announced', name: intent.name, why: announced });
+          return;
+        }
+      }
+      const result = yield* this.request(permit, intent);
+      this.noteCapacity(kind, intent, result);
+      if (result._tag === 'rented') yield* this.record(permit, intent, result.machines);
+      journal?.close(intent.name, OUTCOMES[result._tag], machinesOf(result).length);
+    });
+  }
+
+  /** Without an answer the same request is sent again under its name: that rents nothing more, and tells what came of it. */
+  private request(permit: Permit, intent: RentalIntent): Effect.Effect<RentResult> {
+    return Effect.gen({ self: this }, function* () {
+      const repeats = this.input.journal ? RENT_REPEATS : 0;
+      for (let tries = 0; ; tries += 1) {
+        const result = yield* this.input.cloud.rent(requestOf(intent), permit);
+        const machines = machinesOf(result);
+        log.info({
+          event: 'machine.rent',
+          name: intent.name,
+          type: intent.machineType,
+          zone: intent.zone,
+          spot: intent.spot,
+          count: intent.shares.length,
+          shares: intent.shares.join(),
+          result: result._tag,
+          got: result._tag === 'rented' ? machines : undefined,
+        });
+        if (result._tag !== 'unknown' || tries >= repeats) return result;
+      }
+    });
+  }
+
+  private noteCapacity(kind: string, intent: RentalIntent, result: RentResult): void {
+    const { refusals } = this.input;
+    switch (result._tag) {
+      case 'rented':
+        if (result.machines.length < intent.shares.length) refusals.refused(kind);
+        else refusals.lift(kind);
+        return;
+      case 'noCapacity':
+        refusals.refused(kind);
+        return;
+      case 'refused':
+      case 'unknown':
+        refusals.failed(kind);
+        return;
+      case 'withheld':
+        return;
+    }
+  }
+
+  private record(permit: Permit, intent: RentalIntent, machines: readonly string[]): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { machineType: type, zone, spot } = intent;
+      const at = this.input.wall();
+      const made = machines.map((id, index): NewMachine => [
+        id,
+        { share: intent.shares[index] ?? 0, type, zone, spot, at, releasing: false, addr: '', session: 0 },
+      ]);
+      while (made.length > 0) {
+        const batch = made.splice(0, this.input.store.batchOps);
+        const written = yield* this.input.recorder.record(permit, batch);
+        // Without an answer they may be recorded yet; if they are, they are known before the next try.
+        if (written !== 'committed') for (const [id, record] of batch) this.input.adopting.add(id, record);
+      }
+    });
+  }
+
+  /** Settles what an earlier leader left open, before this one rents anything. Repeated until it succeeds. */
+  readonly settle: Effect.Effect<void> = Effect.gen({ self: this }, function* () {
+    const { duty } = this.input;
+    const permit = duty.beginSettlement('settlement of rental requests');
+    if (permit === null) return;
+    const settled = yield* Effect.ensuring(this.settleUnder(permit), Effect.sync(permit.end));
+    if (settled) duty.apply({ _tag: 'settled', token: permit.token });
+    else yield* Effect.sleep(SETTLE_RETRY_MS);
+  });
+
+  private settleUnder(permit: Permit): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const { journal } = this.input;
+      if (journal === null) return true;
+      const book = yield* Effect.promise(() => journal.load(permit.token));
+      if (book === null) return false;
+      if (book.malformed.length > 0) log.error({ event: 'rental_intent.malformed', entries: book.malformed });
+      for (const settlement of settlementsFor(book, this.input.wall())) {
+        const outcome = yield* this.settleOne(permit, settlement);
+        // Not ours to settle any more: whoever is the holder now does it.
+        if (outcome === 'withheld') return false;
+        journal.close(settlement.intent.name, outcome);
+      }
+      return true;
+    });
+  }
+
+  private settleOne(permit: Permit, { _tag, intent }: Settlement): Effect.Effect<RentalOutcome> {
+    return Effect.gen({ self: this }, function* () {
+      log.info({ event: 'rental_intent.settled', how: _tag, name: intent.name });
+      if (_tag === 'abandon') return 'abandoned';
+      const result = yield* this.request(permit, intent);
+      if (result._tag === 'withheld') return 'withheld';
+      if (result._tag !== 'rented') return 'abandoned';
+      // Some may have been recorded by the earlier leader: the queue leaves out those that are known.
+      const { machineType: type, zone, spot, at } = intent;
+      result.machines.forEach((id, index) => {
+        const share = intent.shares[index] ?? 0;
+        this.input.adopting.add(id, {
+          share,
+          type,
+          zone,
+          spot,
+          at,
+          releasing: false,
+          addr: '',
+          session: 0,
+        });
+      });
+      return 'repeated by successor';
+    });
+  }
+}
+
+const machinesOf = (result: RentResult): readonly string[] =>
+  result._tag === 'rented' ? result.machines : [];
--- a/src/http.ts
+++ b/src/http.ts
@@ -28,8 +28,8 @@
 /** The outcome of a request. */
 export type Answer =
   | { readonly _tag: 'answer'; readonly status: number; readonly body: unknown }
-  /** Nothing is known about what became of the request. */
-  | { readonly _tag: 'silence'; readonly why: string };
+  /** Nothing is known about what became of the request, unless `sent` is false: then no byte of it left the process. */
+  | { readonly _tag: 'silence'; readonly why: string; readonly sent?: false };
 
 /** Host and port of a server. */
 export interface Target {
@@ -45,8 +45,26 @@
 
 /** Whatever carries requests to one address. */
 export interface Caller {
-  request(method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer>;
+  request(
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+    /** Asked when a connection is there, immediately before the first byte leaves; false: the request is withheld. */
+    maySend?: () => boolean,
+  ): Promise<Answer>;
 }
+
+/** The answer to a request that lost its right while it waited for a connection. */
+export const WITHHELD: Answer = { _tag: 'silence', why: 'withheld', sent: false };
+
+/** Runs `send` once the request has an open connection. */
+const whenConnected = (req: http.ClientRequest, send: () => void): void => {
+  req.once('socket', (socket: Socket) => {
+    if (socket.connecting) socket.once('connect', send);
+    else send();
+  });
+};
 /** Makes a caller for one address with a bounded number of sockets. */
 export type Callers = (target: Target, sockets: number) => Caller;
 
@@ -64,7 +82,13 @@
     });
   }
 
-  request(method: string, path: string, body: unknown, timeoutMs: number): Promise<Answer> {
+  request(
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+    maySend?: () => boolean,
+  ): Promise<Answer> {
     return new Promise((resolve) => {
       let over = false;
       const end = (answer: Answer): void => {
@@ -113,8 +137,24 @@
         req.destroy();
       }, timeoutMs);
       req.on('error', (error) => end({ _tag: 'silence', why: error.message }));
-      if (payload) req.end(...oneWrite(payload));
-      else req.end();
+      const send = (): void => {
+        if (payload) req.end(...oneWrite(payload));
+        else req.end();
+      };
+      if (!maySend) {
+        send();
+        return;
+      }
+      // Requests queue for connections inside the agent: nothing is handed over before the right is asked for.
+      whenConnected(req, () => {
+        if (over) return;
+        if (maySend()) {
+          send();
+          return;
+        }
+        end(WITHHELD);
+        req.destroy();
+      });
     });
   }
 }
--- a/src/peers/network.ts
+++ b/src/peers/network.ts
@@ -61,8 +61,8 @@
   readonly leader: () => string | undefined;
   readonly now: () => number;
   readonly callers: Callers;
-  /** Answers a peer's request that is not a heartbeat. */
-  readonly answer: (path: string, body: unknown) => Promise<unknown>;
+  /** Answers a peer's request that is not a heartbeat; null: there is nothing under this path. */
+  readonly answer: (path: string, body: unknown) => Promise<Reply | null>;
 }
 
 /**
@@ -209,7 +209,7 @@
       return { status: 200, body: this.input.heartbeat(typeof from === 'string' ? from : '') };
     }
     const result = await this.input.answer(call.path, body);
-    return result === null ? { status: 404 } : { status: 200, body: result };
+    return result ?? { status: 404 };
   }
 
   /** Sends the leader a heartbeat soon, since something changed that it decides about. */
--- a/src/peers/protocol-version.ts
+++ b/src/peers/protocol-version.ts
@@ -1,5 +1,7 @@
+import type { Permit } from '@dalegate/fencing';
 import * as Effect from 'effect/Effect';
 import { PROTOCOL_VERSION, PROTOCOL_VERSION_CHECK_MS } from '../constants.js';
+import { fencedTransaction } from '../duties/fenced-store.js';
 import { log } from '../log.js';
 import type { Store } from '../store/client.js';
 import { LEVEL_KEY } from '../store/keys.js';
@@ -14,6 +16,8 @@
   readonly cache: Pick<WatchCache, 'get' | 'ready'>;
   /** What each other node last announced; null: one was never heard. */
   readonly announced: () => readonly (number | null)[];
+  /** Leave to write it; null: this node does not hold the duty now. */
+  readonly begin: () => Permit | null;
 }
 
 /** Agrees on the protocol version that every controller understands. */
@@ -31,12 +35,17 @@
       yield* Effect.sleep(PROTOCOL_VERSION_CHECK_MS);
       if (!this.input.cache.ready || this.agreed >= PROTOCOL_VERSION) continue;
       if (this.input.announced().some((level) => level === null || level < PROTOCOL_VERSION)) continue;
+      const permit = this.input.begin();
+      if (permit === null) continue;
       const version = this.input.cache.get(LEVEL_KEY)?.version ?? 0;
-      const result = yield* this.input.store.txn(
+      const result = yield* fencedTransaction(
+        this.input.store,
+        permit,
         [{ key: LEVEL_KEY, version }],
         [{ _tag: 'put', key: LEVEL_KEY, value: { v: PROTOCOL_VERSION } }],
         'user',
       );
+      permit.end();
       log.info({ event: 'level.agreed', level: PROTOCOL_VERSION, result: result._tag });
     }
   });
--- /dev/null
+++ b/src/peers/rate-sharing.ts
@@ -0,0 +1,16 @@
+import * as Effect from 'effect/Effect';
+import { HEARTBEAT_MS } from '../constants.js';
+import type { Store } from '../store/client.js';
+import { rateFor, type Demand } from './network.js';
+
+/** Each node's part of the state service's rates follows what the nodes ask for. */
+export const shareRates = (store: Store, demands: () => readonly Demand[]): Effect.Effect<never> => {
+  const share = (): void => {
+    const others = demands();
+    const requests = others.map((demand) => demand.requests);
+    const changes = others.map((demand) => demand.changes);
+    store.requests.setRate(rateFor(store.rates.requests, store.requests.demand(), requests));
+    store.changes.setRate(rateFor(store.rates.changes, store.changes.demand(), changes));
+  };
+  return Effect.forever(Effect.andThen(Effect.sleep(HEARTBEAT_MS), Effect.sync(share)));
+};
--- a/src/peers/store-relay.ts
+++ b/src/peers/store-relay.ts
@@ -1,8 +1,9 @@
 import * as Effect from 'effect/Effect';
+import { LEADER } from '../claims/decide.js';
 import { RELAY_FRESH_MS, RELAY_MS, VALUE_FILL } from '../constants.js';
 import type { Reservation, Move, Summary } from '../fleet/records.js';
 import type { Store, StoreEvent } from '../store/client.js';
-import { ordersKey, summaryKey } from '../store/keys.js';
+import { claimKey, ordersKey, summaryKey } from '../store/keys.js';
 
 /**
  * The slow way between a share's holder and the leader when their connections are refused: summaries and orders
@@ -66,9 +67,11 @@
     return this.input.now() - (this.wroteAt.get(key) ?? Number.NEGATIVE_INFINITY) >= RELAY_MS;
   }
 
-  private write(key: string, value: unknown): Effect.Effect<unknown> {
+  /** Conditional on the claim of whoever writes: a late copy of a replaced one must not hide what is newer. */
+  private write(key: string, value: unknown, slot: string, claim: number): Effect.Effect<unknown> {
     this.wroteAt.set(key, this.input.now());
-    return this.input.store.txn([], [{ _tag: 'put', key, value }], 'work');
+    const when = [{ key: claimKey(slot), version: claim }];
+    return this.input.store.txn(when, [{ _tag: 'put', key, value }], 'work');
   }
 
   /** The leader's orders for a share whose holder it can't reach. */
@@ -76,7 +79,7 @@
     const leader = this.input.leaderClaim();
     const key = ordersKey(slot);
     if (leader === null || !this.due(key)) return Effect.void;
-    return this.write(key, this.fittingOrders({ leader, moves, holds }));
+    return this.write(key, this.fittingOrders({ leader, moves, holds }), LEADER, leader);
   }
 
   private tooLong(value: unknown): boolean {
@@ -123,7 +126,7 @@
         const said = `${summary.claim}|${fit.needs.length}|${fit.spares.length}`;
         if (fit.needs.length + fit.spares.length === 0 && this.lastSaid.get(summary.share) === said) continue;
         this.lastSaid.set(summary.share, said);
-        yield* this.write(key, fit);
+        yield* this.write(key, fit, String(summary.share), summary.claim);
       }
     }
   });
--- /dev/null
+++ b/src/placement/left-over-keys.ts
@@ -0,0 +1,109 @@
+import { Remover, type Duty, type LeftOver, type MarkedKey } from '@dalegate/fencing';
+import * as Effect from 'effect/Effect';
+import { fencedValue } from '../duties/fenced-store.js';
+import { log } from '../log.js';
+import type { Store } from '../store/client.js';
+import { parseRunKey, removalsKey } from '../store/keys.js';
+import type { Writer } from './writer.js';
+
+/** Keys of a share that belong to nothing any more. */
+export interface LeftOverKeys {
+  /** Has these keys removed some time. */
+  discard(keys: readonly LeftOver[]): void;
+  /** Is there anything to do now? */
+  readonly due: boolean;
+  /** Marks or removes a few. */
+  step(): Promise<void>;
+}
+
+/** Removal under the claim alone, without a mark: what is done where fencing is off. */
+export class UnmarkedRemoval implements LeftOverKeys {
+  private readonly keys: string[] = [];
+
+  constructor(
+    private readonly store: Store,
+    private readonly writer: Writer,
+  ) {}
+
+  discard(keys: readonly LeftOver[]): void {
+    this.keys.push(...keys.map(({ key }) => key));
+  }
+
+  get due(): boolean {
+    return this.keys.length > 0;
+  }
+
+  async step(): Promise<void> {
+    const batch = this.keys.splice(0, this.store.batchOps);
+    if (batch.length > 0 && !(await this.writer.clear(batch))) this.keys.push(...batch);
+  }
+}
+
+/** What the removal in two steps needs of its share. */
+export interface MarkedRemovalInput {
+  readonly store: Store;
+  readonly slot: number;
+  readonly claim: number;
+  readonly duty: Duty;
+  /** Does the share know this job, or do the shared keys show it? */
+  readonly jobKnown: (job: string) => boolean;
+  /** ms since the epoch. */
+  readonly wall: () => number;
+}
+
+/** Removal in two steps, each under the duty's token and the revision of every key. */
+export class MarkedRemoval implements LeftOverKeys {
+  private readonly remover: Remover;
+
+  constructor(private readonly input: MarkedRemovalInput) {
+    const { store, slot, duty } = input;
+    this.remover = new Remover({
+      value: fencedValue(store, removalsKey(slot), String(slot), 'work'),
+      begin: () => duty.begin('removal of left-over state'),
+      inUse: (key) => this.inUse(key),
+      // The book of removals is one more change.
+      batch: () => Math.max(1, store.batchOps - 1),
+      timeOfDay: input.wall,
+      revisionOf: async (key) => {
+        const result = await Effect.runPromise(store.get(key, 'work'));
+        switch (result._tag) {
+          case 'found':
+            return { _tag: 'revision', revision: result.item.version };
+          case 'absent':
+            return { _tag: 'absent' };
+          case 'failed':
+            return { _tag: 'unavailable' };
+        }
+      },
+      removed: (keys) => this.logRemoved(keys),
+    });
+  }
+
+  /** A run whose job is there after all is left alone; its parts and lists go by the job's name as well. */
+  private inUse(key: string): boolean {
+    const job = parseRunKey(key)?.job ?? key.split('/')[2];
+    return job !== undefined && this.input.jobKnown(job);
+  }
+
+  private logRemoved(keys: readonly MarkedKey[]): void {
+    if (keys.length === 0) return;
+    log.info({
+      event: 'state.removed',
+      share: this.input.slot,
+      claim: this.input.claim,
+      keys: keys.map(({ key, reason, token }) => ({ key, reason, markedUnder: token })),
+    });
+  }
+
+  discard(keys: readonly LeftOver[]): void {
+    this.remover.discard(keys);
+  }
+
+  get due(): boolean {
+    return this.remover.due;
+  }
+
+  step(): Promise<void> {
+    return this.remover.step();
+  }
+}
--- a/src/placement/record-flusher.test.ts
+++ b/src/placement/record-flusher.test.ts
@@ -5,6 +5,7 @@
 import { Store } from '../store/client.js';
 import { RecordFlusher } from './record-flusher.js';
 import { ShareState } from './share-state.js';
+import { UnmarkedRemoval } from './left-over-keys.js';
 import { Writer } from './writer.js';
 
 /** Final records: each is written once, whatever order the answers and the watch's events come in. */
@@ -67,6 +68,7 @@
     store,
     shareState,
     writer,
+    leftOver: new UnmarkedRemoval(store, writer),
     now: () => 0,
     lost: () => false,
     poke: () => undefined,
--- a/src/placement/record-flusher.ts
+++ b/src/placement/record-flusher.ts
@@ -1,5 +1,6 @@
 import { FLUSH_AGE_MS, FLUSH_AT_ONCE, FLUSH_MS } from '../constants.js';
 import type { FinalRecord, FinalState } from '../jobs/model.js';
+import type { LeftOverKeys } from './left-over-keys.js';
 import type { Store } from '../store/client.js';
 import type { ShareState } from './share-state.js';
 import { isFinished, type ShareJob } from './state.js';
@@ -10,6 +11,7 @@
   readonly store: Store;
   readonly shareState: ShareState;
   readonly writer: Writer;
+  readonly leftOver: LeftOverKeys;
   readonly now: () => number;
   /** The share's claim is no longer held by this process. */
   readonly lost: () => boolean;
@@ -23,16 +25,9 @@
 export class RecordFlusher {
   private flushing = false;
   private flushedAt = 0;
-  /** Keys of runs whose jobs are over. */
-  private readonly orphans: string[] = [];
 
   constructor(private readonly input: RecordFlusherInput) {}
 
-  /** Has these left-over keys deleted some time. */
-  discard(keys: readonly string[]): void {
-    this.orphans.push(...keys);
-  }
-
   /** Finished tasks, and bindings that are gone. Jobs that are all done go straight to their final record. */
   flush(): void {
     const now = this.input.now();
@@ -48,7 +43,8 @@
           entries.push({ write: this.input.writer.runWrite(job, number) });
       }
     }
-    if (entries.length === 0 && this.orphans.length === 0) return;
+    const { leftOver } = this.input;
+    if (entries.length === 0 && !leftOver.due) return;
     this.flushing = true;
     this.flushedAt = now;
     const work = async (): Promise<void> => {
@@ -58,10 +54,7 @@
           batch.map((entry) => entry.write),
           'work',
         );
-      if (this.orphans.length > 0) {
-        const keys = this.orphans.splice(0, this.input.store.batchOps);
-        if (!(await this.input.writer.clear(keys))) this.orphans.push(...keys);
-      }
+      if (leftOver.due) await leftOver.step();
     };
     void work().finally(() => {
       this.flushing = false;
@@ -78,13 +71,13 @@
       batch = [];
       size = 0;
       if (sent.length === 0) return;
-      void this.input.writer.finish(sent).then(({ done, orphans }) => {
+      void this.input.writer.finish(sent).then(({ done, leftOver }) => {
         for (const { job, final } of done) {
           this.input.shareState.jobs.delete(job.spec.id);
           this.input.settled(job.spec.id, final);
         }
         for (const { job } of sent) this.input.shareState.dropIfOver(job);
-        this.orphans.push(...orphans);
+        this.input.leftOver.discard(leftOver);
         this.input.poke();
       });
     };
--- a/src/placement/run-loader.ts
+++ b/src/placement/run-loader.ts
@@ -1,3 +1,4 @@
+import type { LeftOver } from '@dalegate/fencing';
 import type { Item } from '../store/client.js';
 import { parseRunKey, runKey, runPartKey } from '../store/keys.js';
 import { counts, durableKeys, partsOf, readRunRecord, validAttempt } from './records.js';
@@ -12,28 +13,29 @@
 /** Rebuilds a share's bindings from the run records that the state service holds, at a takeover. */
 export class RunLoader {
   /** Keys that belong to no job any more. */
-  private readonly orphans: string[] = [];
+  private readonly leftOver: LeftOver[] = [];
 
   constructor(private readonly input: RunLoaderInput) {}
 
   /** Takes in all runs of the share; returns the keys that are left over. */
-  loadAll(items: readonly Item[]): readonly string[] {
+  loadAll(items: readonly Item[]): readonly LeftOver[] {
     const byKey = new Map(items.map((item) => [item.key, item]));
     for (const item of items) this.load(item, byKey);
-    return this.orphans;
+    return this.leftOver;
   }
 
   private load(item: Item, items: ReadonlyMap<string, Item>): void {
     const name = parseRunKey(item.key);
     const job = name ? this.input.shareState.jobs.get(name.job) : undefined;
     if (!name || !job) {
-      this.orphans.push(item.key);
+      this.leftOver.push({ key: item.key, revision: item.version, reason: 'belongs to no job' });
       return;
     }
     // Parts are read with the record that they belong to; one that it doesn't name is left over.
     if (name.part !== null) {
       const whole = items.get(runKey(this.input.slot, name.job, name.chunk));
-      if (!whole || name.part >= partsOf(whole.value)) this.orphans.push(item.key);
+      if (!whole || name.part >= partsOf(whole.value))
+        this.leftOver.push({ key: item.key, revision: item.version, reason: 'part not named' });
       return;
     }
     const count = partsOf(item.value);
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -1,3 +1,4 @@
+import type { Duty } from '@dalegate/fencing';
 import * as Effect from 'effect/Effect';
 import { TASK_COUNTS_MAX, PLACE_TICK_MS, STORE_RETRY_MS } from '../constants.js';
 import { readMachineRecord, type Reservation, type Move, type Summary } from '../fleet/records.js';
@@ -13,6 +14,7 @@
 import { placementRequests, availableCapacity, teamUsage, type ViewInput } from './placement-view.js';
 import { Binder } from './binder.js';
 import { MachineLifecycle } from './machine-lifecycle.js';
+import { MarkedRemoval, UnmarkedRemoval, type LeftOverKeys } from './left-over-keys.js';
 import { Preemptor } from './preemptor.js';
 import { RecordFlusher } from './record-flusher.js';
 import { RoundPacer } from './round-pacer.js';
@@ -68,6 +70,10 @@
   readonly settled: (job: string, final: FinalRecord) => void;
   readonly readiness: (job: string) => Readiness;
   readonly standing: (job: string) => Standing | null;
+  /** The duty of cleaning up this share's left-over state; null: it is done without marks. */
+  readonly cleanUp: Duty | null;
+  /** The share's runs are read: its duties begin. */
+  readonly loaded: () => void;
   /** Returns machines to the cloud at once, without a record of it; true: they are gone. */
   readonly returnNow: (machines: readonly string[]) => Promise<boolean>;
   /** Something changed that the leader or a worker waits for. */
@@ -85,6 +91,7 @@
   private readonly sessions: WorkerSessions;
   private readonly writer: Writer;
   private readonly lifecycle: MachineLifecycle;
+  private readonly leftOver: LeftOverKeys;
   private readonly flusher: RecordFlusher;
   private readonly binder: Binder;
   private readonly preemptor: Preemptor;
@@ -147,10 +154,23 @@
       lost,
       returnNow: input.returnNow,
     });
+    const { cleanUp } = input;
+    this.leftOver =
+      cleanUp === null
+        ? new UnmarkedRemoval(store, writer)
+        : new MarkedRemoval({
+            store,
+            slot,
+            claim,
+            duty: cleanUp,
+            jobKnown: (job) => shareState.jobs.has(job) || input.cache.get(jobKey(job)) !== undefined,
+            wall,
+          });
     this.flusher = new RecordFlusher({
       store,
       shareState,
       writer,
+      leftOver: this.leftOver,
       now,
       lost,
       poke,
@@ -263,7 +283,7 @@
         this.onStanding(record.spec.id);
       }
       const loader = new RunLoader({ slot: this.slot, shareState: this.shareState });
-      this.flusher.discard(loader.loadAll(all.items));
+      this.leftOver.discard(loader.loadAll(all.items));
       for (const machine of this.shareState.machines.values()) {
         machine.free = null;
         for (const task of machine.reported) {
@@ -278,6 +298,7 @@
         jobs: this.shareState.jobs.size,
         machines: this.shareState.machines.size,
       });
+      this.input.loaded();
       return;
     }
   });
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -1,3 +1,4 @@
+import type { LeftOver } from '@dalegate/fencing';
 import * as Effect from 'effect/Effect';
 import {
   COMMITS_AT_ONCE,
@@ -43,7 +44,7 @@
 /** Jobs whose final records are durable, and runs that are left to clear away. */
 export interface Finished {
   readonly done: readonly { readonly job: ShareJob; readonly final: FinalRecord }[];
-  readonly orphans: readonly string[];
+  readonly leftOver: readonly LeftOver[];
 }
 
 /** One run of a job's tasks, as it is to be written now. */
@@ -308,8 +309,8 @@
   /** Final records of jobs in one transaction. Returns those that are durable, with runs left to clear away. */
   async finish(jobs: readonly { readonly job: ShareJob; readonly state: FinalState }[]): Promise<Finished> {
     const first = jobs[0];
-    if (!first) return { done: [], orphans: [] };
-    const orphans: string[] = [];
+    if (!first) return { done: [], leftOver: [] };
+    const leftOver: LeftOver[] = [];
     const writes: Write[] = [];
     const finals = jobs.map(({ job, state }) => ({
       job,
@@ -322,20 +323,9 @@
         { _tag: 'delete', key: jobKey(job.spec.id) },
       );
     }
-    for (const { job } of jobs) {
-      const keys = [
-        ...[...job.chunks].flatMap(([number, chunk]) => [
-          runKey(this.input.slot, job.spec.id, number),
-          ...Array.from({ length: chunk.parts }, (_, part) =>
-            runPartKey(this.input.slot, job.spec.id, number, part),
-          ),
-        ]),
-        ...Array.from({ length: job.parts }, (_, part) => followsKey(job.spec.id, part)),
-      ];
-      for (const key of keys) {
-        if (writes.length < this.input.store.txnOps) writes.push({ _tag: 'delete', key });
-        else orphans.push(key);
-      }
+    for (const key of jobs.flatMap(({ job }) => this.keysOf(job))) {
+      if (writes.length < this.input.store.txnOps) writes.push({ _tag: 'delete', key: key.key });
+      else leftOver.push(key);
     }
     const result = await this.surely(
       jobs.flatMap(({ job }) => [
@@ -357,11 +347,33 @@
         )
           job.finishAlone = true;
       }
-      return { done: [], orphans: [] };
+      return { done: [], leftOver: [] };
     }
     for (const { job, state } of jobs)
       log.info({ event: 'job.final', job: job.spec.id, state, ageMs: this.input.wall() - job.at });
-    return { done: finals, orphans };
+    return { done: finals, leftOver };
+  }
+
+  /** Everything that is stored of a job beside its record. */
+  private keysOf(job: ShareJob): readonly LeftOver[] {
+    const runs = [...job.chunks].flatMap(([number, chunk]): readonly LeftOver[] => {
+      // The parts of a run are written together with its record. One that was never written has no revision yet.
+      const revision = chunk.version === 0 ? null : chunk.version;
+      const parts = Array.from({ length: chunk.parts }, (_, part) =>
+        runPartKey(this.input.slot, job.spec.id, number, part),
+      );
+      return [runKey(this.input.slot, job.spec.id, number), ...parts].map((key) => ({
+        key,
+        revision,
+        reason: 'job over',
+      }));
+    });
+    const follows = Array.from({ length: job.parts }, (_, part): LeftOver => ({
+      key: followsKey(job.spec.id, part),
+      revision: null,
+      reason: 'job over',
+    }));
+    return [...runs, ...follows];
   }
 
   /** Machine records in one transaction. From its start nothing is placed on them, also while the end is open. */
@@ -407,7 +419,7 @@
     return false;
   }
 
-  /** Runs of jobs that are over. Left-overs cost nothing but room, so a failure is simply tried again later. */
+  /** Left-over keys, under the claim alone. They cost nothing but room, so a failure is simply tried again later. */
   async clear(keys: readonly string[]): Promise<boolean> {
     const result = await Effect.runPromise(
       this.input.store.txn(
--- a/src/router.ts
+++ b/src/router.ts
@@ -1,5 +1,6 @@
 import * as Effect from 'effect/Effect';
 import { RETRY_AFTER_S, USER_BUDGET_MS } from './constants.js';
+import type { DutiesApi } from './duties/admin-api.js';
 import type { Call, Reply } from './http.js';
 import type { UsersApi } from './jobs/api.js';
 import type { ReportHandler } from './workers/report-handler.js';
@@ -10,6 +11,7 @@
   readonly ready: () => boolean;
   readonly reports: Pick<ReportHandler, 'handle'>;
   readonly users: Pick<UsersApi, 'handle'>;
+  readonly duties: Pick<DutiesApi, 'handle'>;
 }
 
 /** Bounds a user's call. One timer a call: a fiber for each that only waits would cost more than most answers. */
@@ -27,9 +29,9 @@
       .finally(() => clearTimeout(timer));
   });
 
-/** Routes requests on the API address: health checks, workers' reports, users' calls. */
+/** Routes requests on the API address: health checks, workers' reports, users' calls, operators' reading calls. */
 export const createRouter =
-  ({ ready, reports, users }: RouterInput): ((call: Call) => Promise<Reply>) =>
+  ({ ready, reports, users, duties }: RouterInput): ((call: Call) => Promise<Reply>) =>
   (call) => {
     if (call.path === '/ready') return Promise.resolve({ status: ready() ? 200 : 503 });
     if (call.path === '/hello') {
@@ -38,5 +40,7 @@
     }
     const parts = call.path.split('/').filter((part) => part !== '');
     if (parts[0] === 'v2' && parts[1] === 'runs') return withinBudget(users.handle(call, parts.slice(2)));
+    if (parts[0] === 'admin' && parts[1] === 'v1' && parts[2] === 'duties')
+      return duties.handle(call, parts.slice(3));
     return Promise.resolve({ status: 404 });
   };
--- a/src/service.ts
+++ b/src/service.ts
@@ -1,41 +1,40 @@
+import { SuspensionAwareClock } from '@dalegate/fencing';
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
-import {
-  CancellationAcknowledgement,
-  readAcknowledgeRequest,
-  type Cancellation,
-} from './cancellation/acknowledgement.js';
-import { outageGraceUntil } from './cancellation/evidence.js';
+import { CancellationAcknowledgement, type Cancellation } from './cancellation/acknowledgement.js';
 import { DurableAcknowledgements } from './cancellation/durable-acknowledgement.js';
 import { LEADER } from './claims/decide.js';
 import { LeaseManager } from './claims/lease-manager.js';
+import { outageGrace } from './claims/outage.js';
 import {
   HEARTBEAT_FRESH_MS,
-  HEARTBEAT_MS,
-  CLOCK_DRIFT,
   CLOUD_TIMEOUT_MS,
   PROTOCOL_VERSION,
   PROTOCOL_ACKNOWLEDGES_CANCELLATIONS,
+  PROTOCOL_FENCED_ORDERS,
   PROTOCOL_PIPELINES,
   RELEASE_MAX,
-  OUTAGE_GRACE_MARGIN_MS,
 } from './constants.js';
 import { Cloud } from './fleet/cloud.js';
-import { readStored, toCatalog } from './fleet/catalog.js';
+import { CatalogView } from './fleet/catalog-view.js';
+import { DutiesApi } from './duties/admin-api.js';
+import { composeDuties } from './duties/compose.js';
 import { BootBoundTypes } from './fleet/boot-bound-types.js';
 import { ScarceTypes } from './fleet/scarce-types.js';
 import { Leader } from './fleet/leader.js';
-import type { Reservation, Move, Summary } from './fleet/records.js';
+import type { Reservation, Summary } from './fleet/records.js';
 import { parseTarget, type Call, type Callers, type Reply } from './http.js';
 import { createRouter } from './router.js';
 import { supervise } from './supervise.js';
 import { UsersApi } from './jobs/api.js';
 import { readJobRecord } from './jobs/codec.js';
-import { fitsIn, placeAllowed, type Catalog, type JobRecord } from './jobs/model.js';
+import { fitsIn, placeAllowed, type JobRecord } from './jobs/model.js';
 import { log } from './log.js';
 import { StoreRelay } from './peers/store-relay.js';
 import { ProtocolVersion } from './peers/protocol-version.js';
-import { PeerNetwork, rateFor } from './peers/network.js';
+import { PeerNetwork } from './peers/network.js';
+import { PeerRequests, type MoveOrder, type ReturnOrder } from './peers/peer-requests.js';
+import { shareRates } from './peers/rate-sharing.js';
 import { unpackIds } from './pipelines/codec.js';
 import { Finals } from './pipelines/finals.js';
 import { Pipelines } from './pipelines/pipelines.js';
@@ -43,10 +42,11 @@
 import { readObjectives } from './placement/urgency.js';
 import { Share, type ShareInput } from './placement/share.js';
 import type { Settings } from './settings/schema.js';
+import { NO_FEATURES, type Features } from './settings/features.js';
 import { lasting } from './settings/limits.js';
 import { divideTeams, nodeNames } from './settings/teams.js';
 import { Store } from './store/client.js';
-import { CATALOG_KEY, claimKey, followsKey, jobKey } from './store/keys.js';
+import { claimKey, followsKey, jobKey } from './store/keys.js';
 import { LinearizableReads } from './store/linearizable-reads.js';
 import { WatchCache } from './store/watch-cache.js';
 import { type DirectCommands } from './workers/worker-client.js';
@@ -78,7 +78,7 @@
 }
 
 /** Composes the slices of one controller. */
-export const compose = (settings: Settings, ports: Ports): Controller => {
+export const compose = (settings: Settings, ports: Ports, features: Features = NO_FEATURES): Controller => {
   const { now, wall, workerClient: line, callers } = ports;
   const me = { node: settings.host_name, incarnation: ports.incarnation };
   const { facts } = settings;
@@ -92,6 +92,15 @@
 
   const objectives = readObjectives(facts.objectives);
 
+  // What bounds the right to act must count a suspension of the host too. Evidence that something is over elsewhere keeps to
+  // the steady clock, which never runs ahead.
+  const leaseClock = features.fencing
+    ? new SuspensionAwareClock(
+        { steady: now, timeOfDay: wall, timeOfDayErrorMs: facts.clock_error_ms },
+        (gapMs) => log.info({ event: 'clock.gap', gapMs }),
+      ).now
+    : now;
+
   const stateLimits = lasting(facts.state);
   const valueBytes = stateLimits.value_kb * 1024;
   const store = new Store(
@@ -100,24 +109,12 @@
     now,
     callers,
   );
-  const cache = new WatchCache(store, now);
+  const cache = new WatchCache(store, leaseClock);
   const fresh = new LinearizableReads(store);
   const finals = new Finals(store);
   const cloud = new Cloud(parseTarget(settings.services.cloud), facts.cloud.rps, nodes.length, now, callers);
 
-  let catalogVersion = 0;
-  let catalogValue: Catalog | null = null;
-  const catalog = (): Catalog | null => {
-    const item = cache.get(CATALOG_KEY);
-    if (item && item.version !== catalogVersion) {
-      const types = readStored(item, (key) => cache.get(key));
-      // What was known before holds until all parts are there.
-      if (types === null) return catalogValue;
-      catalogVersion = item.version;
-      catalogValue = toCatalog(types);
-    }
-    return catalogValue;
-  };
+  const catalog = new CatalogView(cache).current;
 
   const shares = new Map<number, { share: Share; fiber: Fiber.Fiber<unknown> }>();
   const stateAge = (): number => (store.okAt === 0 ? Number.MAX_SAFE_INTEGER : now() - store.okAt);
@@ -127,7 +124,7 @@
   const peerNetwork: PeerNetwork = new PeerNetwork({
     me: me.node,
     peers: settings.siblings,
-    now,
+    now: leaseClock,
     callers,
     leader: leaderNode,
     heartbeat: (to) => ({
@@ -143,23 +140,7 @@
       demand: { requests: store.requests.demand(), changes: store.changes.demand() },
       holds: leases.entitled(LEADER) === null ? [] : leader.holds,
     }),
-    answer: async (path, body) => {
-      switch (path) {
-        case '/move': {
-          const { moves, from } = body as { moves: readonly Move[]; from: number };
-          const held = entitledShare(from);
-          return { moved: held ? await held.give(moves) : false };
-        }
-        case '/return': {
-          const { machines } = body as { machines: readonly string[] };
-          return { returned: await leader.returnNow(machines) };
-        }
-        case '/heed':
-          return { heeded: readAcknowledgeRequest(body).map(acknowledge) };
-        default:
-          return null;
-      }
-    },
+    answer: (path, body) => peerRequests.answer(path, body),
   });
 
   /** Puts a cancellation to a share of ours, if this process holds it under that very claim. */
@@ -172,6 +153,7 @@
     store,
     cache: cache,
     announced: () => peerNetwork.announced(),
+    begin: () => registry.leader('protocol-level').begin('agreed protocol level'),
   });
 
   const acknowledgement = new CancellationAcknowledgement({
@@ -199,48 +181,6 @@
     allHeard: () => peerNetwork.allHeard(),
   });
 
-  /** Each node's part of the state service's rates follows what the nodes ask for. */
-  const shareRates = Effect.forever(
-    Effect.andThen(
-      Effect.sleep(HEARTBEAT_MS),
-      Effect.sync(() => {
-        const others = peerNetwork.demands();
-        store.requests.setRate(
-          rateFor(
-            store.rates.requests,
-            store.requests.demand(),
-            others.map((demand) => demand.requests),
-          ),
-        );
-        store.changes.setRate(
-          rateFor(
-            store.rates.changes,
-            store.changes.demand(),
-            others.map((demand) => demand.changes),
-          ),
-        );
-      }),
-    ),
-  );
-
-  /** Most nodes, this one included, can't reach the state service, and no node says that it can. */
-  const outage = (): boolean => {
-    if (stateAge() < HEARTBEAT_FRESH_MS) return false;
-    const word = peerNetwork.stateReachability();
-    return word.up === 0 && (word.down + 1) * 2 > nodes.length;
-  };
-
-  /** The time for which this node may go on answering workers without renewals. */
-  const ride = (): number | null =>
-    outageGraceUntil({
-      confirmed: outage(),
-      nobodyTells: protocolVersion.agreed >= PROTOCOL_ACKNOWLEDGES_CANCELLATIONS && peerNetwork.allDown(),
-      freshAt: cache.freshAt,
-      cancelMs: facts.workers.cancel_s * 1000 * (1 - CLOCK_DRIFT),
-      leaseMs: facts.workers.lease_s * 1000 * (1 + CLOCK_DRIFT),
-      marginMs: OUTAGE_GRACE_MARGIN_MS,
-    });
-
   /** Shares of ours whose workers all fell silent here while another node hears half of them. */
   const unheard = (): ReadonlyMap<string, string> => {
     const found = new Map<string, string>();
@@ -258,9 +198,25 @@
     nodes,
     slotCount: slots,
     peers: () => peerNetwork.peers(),
-    outageGraceUntil: ride,
+    outageGraceUntil: () =>
+      outageGrace({
+        nodes: nodes.length,
+        stateAge,
+        peers: peerNetwork,
+        protocolVersion,
+        cache,
+        workers: facts.workers,
+      }),
     unheard,
-    now,
+    now: leaseClock,
+  });
+
+  const { registry, gate, journal, readRentals } = composeDuties({
+    leases,
+    store,
+    wall,
+    enforce: features.fencing,
+    tokensRequired: () => protocolVersion.agreed >= PROTOCOL_FENCED_ORDERS,
   });
 
   const entitledShare = (slot: number): Share | null => {
@@ -279,6 +235,8 @@
     store,
     cache: cache,
     cloud,
+    duties: registry,
+    journal,
     shares: slots,
     listLagS: facts.cloud.list_lag_s,
     valueBytes,
@@ -291,13 +249,15 @@
         (summary) => summary !== null,
       );
     },
-    move: (from, moves) => {
+    move: (from, moves, permit) => {
       const held = entitledShare(from);
       if (held) return Effect.promise(() => held.give(moves));
       const holder = leases.claim(String(from))?.node;
       if (holder === undefined || holder === me.node) return Effect.void;
       if (peerNetwork.fresh(holder) === null) return relay.order(from, moves, leader.holds);
-      return Effect.promise(() => peerNetwork.ask(holder, '/move', { moves, from }));
+      if (!permit.mayProceed()) return Effect.void;
+      const order: MoveOrder = { moves, from, token: permit.token };
+      return Effect.promise(() => peerNetwork.ask(holder, '/move', order));
     },
     now,
     wall,
@@ -317,6 +277,13 @@
     },
   });
 
+  const peerRequests = new PeerRequests({
+    gate,
+    move: async (from, moves) => (await entitledShare(from)?.give(moves)) ?? false,
+    returnNow: (machines) => leader.returnNow(machines),
+    acknowledge,
+  });
+
   const holdsFor = (slot: number): readonly Reservation[] => {
     if (leases.entitled(LEADER) !== null) return leader.holds;
     const from = leaderNode();
@@ -380,11 +347,14 @@
       const to = leaderNode();
       if (to === undefined) return false;
       if (to === me.node) return leader.returnNow(some);
-      const answer = (await peerNetwork.ask(to, '/return', { machines: some }, CLOUD_TIMEOUT_MS)) as {
+      const order: ReturnOrder = { machines: some, share: slot, token: claim };
+      const answer = (await peerNetwork.ask(to, '/return', order, CLOUD_TIMEOUT_MS)) as {
         returned?: boolean;
       } | null;
       return answer?.returned === true;
     },
+    cleanUp: features.fencing ? registry.share(slot, 'clean-up') : null,
+    loaded: () => registry.shareLoaded(slot, claim),
     settled: (job, final) => pipelines.settle(job, final),
     readiness: (job) => pipelines.readiness(job),
     standing: (job) => pipelines.standing(job),
@@ -429,6 +399,10 @@
     const id = key.slice(4);
     relay.onEvent(event);
     if (key.startsWith('w/c/')) {
+      const slot = key.slice('w/c/'.length);
+      const held = leases.claim(slot);
+      if (held) gate.seen(slot, held.version);
+      registry.onClaim(slot);
       for (let slot = 0; slot < slots; slot += 1) if (key === claimKey(String(slot))) followClaim(slot);
       return;
     }
@@ -467,7 +441,7 @@
     pipelines,
     takesPipelines: () => protocolVersion.agreed >= PROTOCOL_PIPELINES,
     valueBytes,
-    copyAgeMs: () => now() - cache.freshAt,
+    copyAgeMs: () => leaseClock() - cache.freshAt,
     assured: (id, team, version) => acknowledgement.assured(shareOfTeam.get(team) ?? 0, id, version),
     cache: cache,
     catalog,
@@ -486,7 +460,15 @@
     return stateAge() < HEARTBEAT_FRESH_MS || peerNetwork.stateReachability().up === 0;
   };
 
-  const route = createRouter({ ready, reports: reportHandler, users });
+  const duties = new DutiesApi({
+    node: me.node,
+    registry,
+    ready: () => cache.ready,
+    releaseIntents: () => leader.releaseIntents,
+    rentals: readRentals,
+  });
+
+  const route = createRouter({ ready, reports: reportHandler, users, duties });
 
   return {
     route,
@@ -498,7 +480,10 @@
         supervise('peers', peerNetwork.run),
         supervise('leader', leader.run),
         supervise('relay', relay.run),
-        supervise('rates', shareRates),
+        supervise(
+          'rates',
+          shareRates(store, () => peerNetwork.demands()),
+        ),
         supervise('protocolVersion', protocolVersion.run),
         supervise('pipelines', pipelines.run),
         supervise('acknowledgements', durableAcknowledgements.run),
--- a/src/start.ts
+++ b/src/start.ts
@@ -8,15 +8,16 @@
 } from './constants.js';
 import { Client, parseTarget, serve } from './http.js';
 import { log } from './log.js';
-import { compose } from './service.js';
+import type { Features } from './settings/features.js';
+import { compose, type Ports } from './service.js';
 import type { Settings } from './settings/schema.js';
 import { WorkerClient } from './workers/worker-client.js';
 
 const MICROSECONDS_PER_MS = 1_000;
 
 /** Runs one controller as this process. */
-export const start = async (settings: Settings): Promise<void> => {
-  const controller = compose(settings, {
+export const start = async (settings: Settings, features: Features): Promise<void> => {
+  const ports: Ports = {
     now: () => performance.now(),
     wall: () => Date.now(),
     processorMs: () => {
@@ -26,7 +27,8 @@
     incarnation: randomUUID(),
     callers: (target, sockets) => new Client(target, sockets),
     workerClient: new WorkerClient(Math.floor(settings.facts.quota.fd_limit * WORKER_CLIENT_SOCKET_SHARE)),
-  });
+  };
+  const controller = compose(settings, ports, features);
   const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
   const connections = Math.floor(settings.facts.quota.fd_limit * INCOMING_SOCKET_SHARE);
   await serve(
@@ -48,6 +50,7 @@
     node: settings.host_name,
     zone: settings.area,
     slots: settings.facts.count,
+    features,
   });
   await Effect.runPromise(controller.run);
 };
--- a/src/store/clients.test.ts
+++ b/src/store/clients.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 import * as Effect from 'effect/Effect';
 import { Cloud } from '../fleet/cloud.js';
-import type { Answer, Callers } from '../http.js';
+import { WITHHELD, type Answer, type Callers } from '../http.js';
+import { permitWhile } from '../testing/duties.js';
 import { Store } from './client.js';
 import { WatchCache } from './watch-cache.js';
 
@@ -77,12 +78,16 @@
   },
   { name: 'too many requests', answer: status(429), expect: 'refused' },
   { name: 'no answer: machines may come up that nobody expects', answer: silence, expect: 'unknown' },
+  { name: 'the right to send it was lost on the way: surely not sent', answer: WITHHELD, expect: 'withheld' },
 ];
 for (const row of rents) {
   test(`rent: ${row.name}`, async () => {
     const cloud = new Cloud(at, 10, 1, () => 0, saying(row.answer));
     const result = await Effect.runPromise(
-      cloud.rent({ name: 'r', type: 'g', zone: 'a', spot: false, count: 2 }),
+      cloud.rent(
+        { name: 'r', type: 'g', zone: 'a', spot: false, count: 2 },
+        permitWhile(() => true),
+      ),
     );
     assert.equal(result._tag, row.expect);
   });
--- a/src/store/keys.ts
+++ b/src/store/keys.ts
@@ -27,6 +27,10 @@
 /** A part of a run whose record is too long for one value. */
 export const runPartKey = (share: number, job: string, chunk: number, part: number): string =>
   `${runKey(share, job, chunk)}+${part}`;
+/** Rental requests that were announced and are not over. Outside the shared keys: only the leader reads it. */
+export const RENTALS_KEY = 'i/rent';
+/** Keys of a share that are marked for removal. */
+export const removalsKey = (share: number): string => `x/${share}`;
 /** A job's final record. */
 export const finalKey = (id: string): string => `f/${id}`;
 
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,7 +1,8 @@
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import type { Answer, Call, Reply } from '../http.js';
-import { compose, type Controller } from '../service.js';
+import { compose, type Controller, type Ports } from '../service.js';
+import { ALL_FEATURES } from '../settings/features.js';
 import type { Settings } from '../settings/schema.js';
 import { readReport } from '../workers/codec.js';
 import type { StandInJob } from './worker-stand-in.js';
@@ -79,7 +80,7 @@
     this.incarnation += 1;
     const alive = { yes: true };
     const never = new Promise<never>(() => undefined);
-    const controller = (this.versions.get(name) ?? compose)(settingsOf(name, this.world.limits), {
+    const ports: Ports = {
       now: () => Date.now(),
       wall: () => Date.now(),
       processorMs: () => 0,
@@ -112,7 +113,9 @@
           return answer.status === 200 && report ? { _tag: 'executed', report } : { _tag: 'refused', report };
         },
       },
-    });
+    };
+    const settings = settingsOf(name, this.world.limits);
+    const controller = (this.versions.get(name) ?? compose)(settings, ports, ALL_FEATURES);
     const fiber = Effect.runFork(controller.run);
     this.running.set(name, { controller, fiber, alive });
     this.world.attach(name, async (method, path, body) =>
--- /dev/null
+++ b/src/testing/duties.ts
@@ -0,0 +1,28 @@
+import { tokenOf, type Permit } from '@dalegate/fencing';
+import { LEADER } from '../claims/decide.js';
+import { DutyRegistry } from '../duties/registry.js';
+
+/** The duties of a leader that never loses its claim, held under this revision. */
+export const leaderDuties = (revision: number, wall: () => number): DutyRegistry => {
+  const registry = new DutyRegistry({
+    leases: {
+      slots: [LEADER],
+      claim: () => ({ node: 'n0', incarnation: '1', version: revision }),
+      mine: () => revision,
+      entitled: () => revision,
+    },
+    wall,
+    enforce: true,
+  });
+  registry.onClaim(LEADER);
+  return registry;
+};
+
+/** Leave for one effect, as long as `holds` says so. */
+export const permitWhile = (holds: () => boolean): Permit => ({
+  duty: 'rent',
+  claim: LEADER,
+  token: tokenOf(1),
+  mayProceed: holds,
+  end: () => undefined,
+});
