--- /dev/null
+++ b/src/cli/cli.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, test } from 'node:test';
+import type { DutiesView } from '../duties/admin-api.js';
+
+interface Outcome {
+  readonly code: number | null;
+  readonly out: string;
+  readonly err: string;
+}
+const run = (args: readonly string[]): Promise<Outcome> =>
+  new Promise((resolve) => {
+    const child = spawn(process.execPath, ['target/app/main.js', ...args], { stdio: 'pipe' });
+    let out = '';
+    let err = '';
+    child.stdout.on('data', (part: Buffer) => (out += part.toString()));
+    child.stderr.on('data', (part: Buffer) => (err += part.toString()));
+    child.on('exit', (code) => resolve({ code, out, err }));
+  });
+
+const view: DutiesView = {
+  node: 'n0',
+  duties: [
+    {
+      duty: 'rent',
+      claim: 'L',
+      state: 'held',
+      open: 1,
+      holder: { claim: 'L', token: 40 as never, node: 'n0', process: 'p', from: 0, to: null, ended: null },
+      history: [
+        { claim: 'L', token: 7 as never, node: 'n2', process: 'p', from: 0, to: 9, ended: 'lease ended' },
+      ],
+      effects: [],
+      refused: [],
+    },
+  ],
+  openRentals: [{ name: 'r-40-1', machineType: 'g8', zone: 'a', spot: true, shares: [0, 1], at: 0 }],
+  settledRentals: [],
+  malformedIntents: [],
+  releaseIntents: [{ machine: 'i-000009', share: 1, reason: 'idle', token: 12 }],
+  refusedSinceStart: 0,
+};
+
+let server: Server;
+let directory: string;
+let node: string;
+before(async () => {
+  directory = mkdtempSync(join(tmpdir(), 'dalegate-cli-'));
+  writeFileSync(join(directory, 'bad.toml'), 'fences = true\n');
+  writeFileSync(join(directory, 'empty.json'), '{}');
+  server = createServer((request, response) => {
+    const known = request.url === '/admin/v1/duties';
+    response.writeHead(known ? 200 : 404);
+    response.end(JSON.stringify(known ? view : { error: 'no duty is called "x"' }));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  node = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+});
+after(() => {
+  server.close();
+  rmSync(directory, { recursive: true });
+});
+
+const rows: readonly {
+  name: string;
+  args: () => readonly string[];
+  code: number;
+  out?: RegExp;
+  err?: RegExp;
+}[] = [
+  { name: 'help', args: () => ['--help'], code: 0, out: /examples: dalegate/ },
+  { name: 'nothing', args: () => [], code: 2, err: /^usage: dalegate --config FILE/ },
+  { name: 'an unknown option', args: () => ['--colour'], code: 2, err: /--colour[\s\S]*usage:/ },
+  { name: 'an unknown command', args: () => ['dutys'], code: 2, err: /^usage:/ },
+  {
+    name: 'a settings file that is not there',
+    args: () => ['--config', join(directory, 'none.json')],
+    code: 2,
+    err: /^settings: ENOENT/,
+  },
+  {
+    name: 'a settings file that lacks a field, named',
+    args: () => ['--config', join(directory, 'empty.json')],
+    code: 2,
+    err: /^settings: .*host_name/,
+  },
+  { name: 'duties of no node', args: () => ['duties'], code: 2, err: /--node HOST:PORT is missing/ },
+  {
+    name: 'duties as a table',
+    args: () => ['duties', '--node', node],
+    code: 0,
+    out: /rent +L +n0 +40[\s\S]*n2 +7[\s\S]*r-40-1: 2 g8 in a[\s\S]*i-000009 of share 1: idle, under token 12/,
+  },
+  {
+    name: 'duties for programs',
+    args: () => ['duties', '--node', node, '--json'],
+    code: 0,
+    out: /^\{"node":"n0"/,
+  },
+  { name: 'an unknown duty', args: () => ['duties', 'x', '--node', node], code: 1, err: /404: .*x\\?"/ },
+  {
+    name: 'a node that does not answer',
+    args: () => ['duties', '--node', '127.0.0.1:9'],
+    code: 1,
+    err: /127\.0\.0\.1:9 does not answer.*try another node/,
+  },
+];
+for (const row of rows) {
+  test(`command line: ${row.name}`, async () => {
+    const { code, out, err } = await run(row.args());
+    assert.equal(code, row.code, err);
+    if (row.out) assert.match(out, row.out);
+    if (row.err) assert.match(err, row.err);
+  });
+}
+
+test('command line: an unknown feature stops the start, with its name and those that exist', async () => {
+  const settings = join(directory, 'settings.json');
+  writeFileSync(settings, JSON.stringify(SETTINGS));
+  const { code, err } = await run(['--config', settings, '--features', join(directory, 'bad.toml')]);
+  assert.equal(code, 2);
+  assert.equal(err, 'features: no feature is called "fences"; there is: fencing\n');
+});
+
+const SETTINGS = {
+  host_name: 'n0',
+  area: 'x',
+  api_addr: '127.0.0.1:1',
+  mesh_addr: '127.0.0.1:1',
+  siblings: [],
+  services: { cloud: '127.0.0.1:1', state: '127.0.0.1:1' },
+  facts: {
+    count: 1,
+    zones: ['x'],
+    teams: [],
+    workers: { report_s: 1, lease_s: 6, gang_wait_s: 20, gang_peer_s: 4, cancel_s: 30 },
+    state: { rps: 1, write_rps: 1, value_kb: 16, txn_ops: 32 },
+    cloud: { rps: 1, list_lag_s: 2 },
+    quota: { core_share: 1, ram_mb: 300, fd_limit: 1_000 },
+    clock_error_ms: 25,
+  },
+};
--- a/src/cli/duties.ts
+++ b/src/cli/duties.ts
@@ -46,7 +46,7 @@
 const time = (ms: number | null): string => (ms === null ? '' : new Date(ms).toISOString());
 
 const dutyRows = (duties: readonly DutyView[]): readonly (readonly string[])[] => [
-  ['DUTY', 'CLAIM', 'HOLDER', 'TOKEN', 'SINCE', 'HERE', 'REFUSED'],
+  ['DUTY', 'CLAIM', 'HOLDER', 'TOKEN', 'SINCE', 'HERE', 'OPEN', 'REFUSED'],
   ...duties.map((duty) => [
     duty.duty,
     duty.claim,
@@ -54,6 +54,7 @@
     String(duty.holder?.token ?? ''),
     time(duty.holder?.from ?? null),
     duty.state,
+    String(duty.open),
     String(duty.refused.length),
   ]),
 ];
@@ -108,7 +109,10 @@
     ...rentals,
     ...(malformed > 0 ? [`malformed intents, kept aside and not acted on: ${malformed}`] : []),
     `machines to be released: ${view.releaseIntents.length}`,
-    ...view.releaseIntents.map((machine) => `  ${machine}`),
+    ...view.releaseIntents.map(
+      ({ machine, share, reason, token }) =>
+        `  ${machine} of share ${share}: ${reason ?? 'no reason given'}${token === null ? '' : `, under token ${token}`}`,
+    ),
   ];
 };
 
--- a/src/duties/admin-api.ts
+++ b/src/duties/admin-api.ts
@@ -17,8 +17,7 @@
   readonly registry: DutyRegistry;
   /** This node has read the claims. */
   readonly ready: () => boolean;
-  /** Machines that a holder wants released, which is a durable intent. */
-  readonly releaseIntents: () => readonly string[];
+  readonly releaseIntents: () => readonly ReleaseIntentView[];
   /** Open rental requests, as the state service holds them; null: it does not answer. */
   readonly rentals: () => Promise<RentalBook | null>;
 }
@@ -28,12 +27,23 @@
   readonly duty: DutyName;
   readonly claim: string;
   readonly state: string;
+  /** Effects of this process that are under way. */
+  readonly open: number;
   readonly holder: HoldingPeriod | null;
   readonly history: readonly HoldingPeriod[];
   readonly effects: readonly { readonly name: string; readonly fence: string; readonly late: string }[];
   readonly refused: readonly Refusal[];
 }
 
+/** A machine that the holder of its share wants released, which is a durable intent. */
+export interface ReleaseIntentView {
+  readonly machine: string;
+  readonly share: number;
+  /** Null: written by a version that gives no reasons. */
+  readonly reason: string | null;
+  readonly token: number | null;
+}
+
 /** The answer to `GET /admin/v1/duties`. */
 export interface DutiesView {
   readonly node: string;
@@ -41,7 +51,7 @@
   readonly openRentals: RentalBook['open'] | null;
   readonly settledRentals: RentalBook['settled'] | null;
   readonly malformedIntents: RentalBook['malformed'] | null;
-  readonly releaseIntents: readonly string[];
+  readonly releaseIntents: readonly ReleaseIntentView[];
   readonly refusedSinceStart: number;
 }
 
@@ -88,6 +98,7 @@
       duty: duty.name,
       claim: duty.claim,
       state: duty.state._tag,
+      open: duty.state._tag === 'idle' ? 0 : duty.state.open,
       holder: periods.find((period) => period.to === null) ?? null,
       history: periods.filter((period) => period.to !== null),
       effects: dutyDefinition(duty.name).effects,
--- a/src/fleet/leader.ts
+++ b/src/fleet/leader.ts
@@ -1,6 +1,7 @@
 import { type Permit, type RentalJournal } from '@dalegate/fencing';
 import * as Effect from 'effect/Effect';
 import { LEADER_IDLE_MS, LEADER_TICK_MS, MOVE_SHOWN_MS, RESERVATION_MAX_MS } from '../constants.js';
+import type { ReleaseIntentView } from '../duties/admin-api.js';
 import type { DutyRegistry } from '../duties/registry.js';
 import type { Catalog } from '../jobs/model.js';
 import { log } from '../log.js';
@@ -108,8 +109,16 @@
   }
 
   /** Machines whose records ask for their release. */
-  get releaseIntents(): readonly string[] {
-    return [...this.machines.releasing];
+  get releaseIntents(): readonly ReleaseIntentView[] {
+    return [...this.machines.releasing].map((machine) => {
+      const record = this.machines.get(machine);
+      return {
+        machine,
+        share: record?.share ?? 0,
+        reason: record?.release?.reason ?? null,
+        token: record?.release?.token ?? null,
+      };
+    });
   }
 
   /** Repeats what only the leader does, as long as this node leads. */
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -1,3 +1,9 @@
+/** Why a machine is to be released, and under which token its holder said so. */
+export interface ReleaseIntent {
+  readonly reason: string;
+  readonly token: number;
+}
+
 /** The durable record of a machine: which share it belongs to. Its revision takes part in the worker's token. */
 export interface MachineRecord {
   readonly share: number;
@@ -13,6 +19,8 @@
   readonly session: number;
   /** Images that it has, most recently used last; for the share that it moves to. */
   readonly images?: readonly string[];
+  /** With `releasing`; for reading only. Earlier versions don't write it. */
+  readonly release?: ReleaseIntent;
 }
 
 /** Writes a machine record as it is stored. */
@@ -25,6 +33,7 @@
   r: record.releasing,
   ...(record.addr === '' ? {} : { a: record.addr, n: record.session }),
   ...(record.images && record.images.length > 0 ? { i: record.images } : {}),
+  ...(record.release ? { w: record.release.reason, k: record.release.token } : {}),
 });
 
 /** Reads a stored machine record. */
@@ -39,6 +48,8 @@
     a?: string;
     n?: number;
     i?: string[];
+    w?: string;
+    k?: number;
   };
   return {
     share: raw.s,
@@ -50,6 +61,7 @@
     addr: raw.a ?? '',
     session: raw.n ?? 0,
     ...(raw.i ? { images: raw.i } : {}),
+    ...(raw.w !== undefined && raw.k !== undefined ? { release: { reason: raw.w, token: raw.k } } : {}),
   };
 };
 
--- /dev/null
+++ b/src/fleet/renter.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { readBook, RentalJournal, writeBook, tokenOf, type RentalIntent } from '@dalegate/fencing';
+import * as Effect from 'effect/Effect';
+import { fencedValue } from '../duties/fenced-store.js';
+import type { Answer } from '../http.js';
+import { Store } from '../store/client.js';
+import { leaderDuties } from '../testing/duties.js';
+import { CloudStandIn } from '../testing/cloud-stand-in.js';
+import { reply, StateStandIn } from '../testing/state-stand-in.js';
+import { AdoptionQueue } from './adoption-queue.js';
+import { CapacityRefusals } from './capacity-refusals.js';
+import { Cloud } from './cloud.js';
+import { MachineRecorder } from './machine-recorder.js';
+import { Renter, type RentStep } from './renter.js';
+
+const SILENCE: Answer = { _tag: 'silence', why: 'timeout' };
+const step: RentStep = { _tag: 'rent', type: 'g', zone: 'x', spot: false, count: 2, shares: [0, 1] };
+
+/** What becomes of a request on its way: `lost` never arrives, `unanswered` is carried out and its answer lost. */
+type Fate = 'answered' | 'lost' | 'unanswered' | 'no capacity' | 'trouble';
+
+/** A renter against the stand-ins, with the fate of each of its requests drawn up beforehand. */
+const setUp = async (fates: Fate[], wall = () => Date.now()) => {
+  const state = new StateStandIn();
+  const cloudStandIn = new CloudStandIn();
+  const claim = await state.handle('n0', 'POST', '/txn', {
+    when: [],
+    writes: [{ write: 'w/c/L', data: { n: 'n0', i: '1' } }],
+  });
+  assert.equal(claim._tag === 'answer' && claim.status, 200);
+  const token = state.version('w/c/L');
+  const callers = (target: { host: string }) => ({
+    request: async (method: string, path: string, body: unknown): Promise<Answer> => {
+      if (target.host === 'state') return state.handle('n0', method, path, body);
+      const fate = fates.shift() ?? 'answered';
+      if (fate === 'no capacity') return reply(503, { error: 'no capacity' });
+      if (fate === 'trouble') return reply(503, { error: 'trouble' });
+      if (fate === 'lost') return SILENCE;
+      const answer = cloudStandIn.handle('n0', method, path, body);
+      return fate === 'unanswered' ? SILENCE : answer;
+    },
+  });
+  const now = (): number => performance.now();
+  const limits = { rps: 1e6, write_rps: 1e6, txn_ops: 16, nodes: 1 };
+  const store = new Store({ host: 'state', port: 1 }, limits, now, callers);
+  const duty = leaderDuties(token, wall).leader('rent');
+  const adopting = new AdoptionQueue();
+  const refusals = new CapacityRefusals(now);
+  const renter = new Renter({
+    store,
+    cloud: new Cloud({ host: 'cloud', port: 1 }, 1e6, 1, now, callers),
+    duty,
+    journal: new RentalJournal({
+      value: fencedValue(store, 'i/rent', 'L', 'user'),
+      timeOfDay: wall,
+      sleep: (ms) => new Promise((resolve) => setTimeout(resolve, Math.min(ms, 20))),
+    }),
+    recorder: new MachineRecorder(store),
+    adopting,
+    refusals,
+    wall,
+  });
+  const book = () => readBook(state.value('i/rent') ?? { t: 1, o: [] });
+  return { state, cloud: cloudStandIn, duty, renter, adopting, refusals, book };
+};
+const settle = (): Promise<void> => new Promise((resolve) => setTimeout(resolve, 80));
+
+const rents: readonly {
+  name: string;
+  fates: Fate[];
+  machines: number;
+  recorded: number;
+  outcome: string;
+  refused: boolean;
+}[] = [
+  { name: 'answered', fates: [], machines: 2, recorded: 2, outcome: 'rented', refused: false },
+  {
+    name: 'its answer lost: sent again under its name, and rented once',
+    fates: ['unanswered'],
+    machines: 2,
+    recorded: 2,
+    outcome: 'rented',
+    refused: false,
+  },
+  { name: 'lost on its way', fates: ['lost'], machines: 2, recorded: 2, outcome: 'rented', refused: false },
+  {
+    name: 'never answered: found by the list, if it was carried out',
+    fates: ['lost', 'lost', 'unanswered'],
+    machines: 2,
+    recorded: 0,
+    outcome: 'unanswered',
+    refused: true,
+  },
+  {
+    name: 'no capacity',
+    fates: ['no capacity'],
+    machines: 0,
+    recorded: 0,
+    outcome: 'no capacity',
+    refused: true,
+  },
+  {
+    name: 'the cloud is in trouble',
+    fates: ['trouble'],
+    machines: 0,
+    recorded: 0,
+    outcome: 'refused',
+    refused: true,
+  },
+];
+for (const row of rents) {
+  test(`renter: a request is ${row.name}`, async () => {
+    const { renter, state, cloud, refusals, book } = await setUp([...row.fates]);
+    await Effect.runPromise(renter.settle);
+    renter.begin(step);
+    await settle();
+    assert.equal(cloud.machines.size, row.machines);
+    assert.equal(state.keys('w/m/').length, row.recorded);
+    assert.deepEqual(book().open, [], 'nothing is left open');
+    assert.equal(book().settled.at(-1)?.outcome, row.outcome);
+    assert.equal(refusals.holds('g|x|false'), row.refused);
+  });
+}
+
+const left = (at: number): RentalIntent => ({
+  name: 'r-1-1',
+  machineType: 'g',
+  zone: 'x',
+  spot: false,
+  shares: [2],
+  at,
+});
+const takeovers: readonly {
+  name: string;
+  ageMs: number;
+  fates: Fate[];
+  machines: number;
+  outcome: string;
+}[] = [
+  { name: 'repeated under its name', ageMs: 1_000, fates: [], machines: 1, outcome: 'repeated by successor' },
+  {
+    name: 'left, if the cloud has none',
+    ageMs: 1_000,
+    fates: ['no capacity'],
+    machines: 0,
+    outcome: 'abandoned',
+  },
+  { name: 'left, if it is old', ageMs: 60_000, fates: [], machines: 0, outcome: 'abandoned' },
+];
+for (const row of takeovers) {
+  test(`renter: what an earlier leader left open is ${row.name}`, async () => {
+    const { renter, state, cloud, duty, adopting, book } = await setUp([...row.fates], () => 100_000);
+    await state.handle('n0', 'POST', '/txn', {
+      when: [],
+      writes: [
+        {
+          write: 'i/rent',
+          data: writeBook(
+            { token: null, open: [left(100_000 - row.ageMs)], settled: [], malformed: [] },
+            tokenOf(1),
+          ),
+        },
+      ],
+    });
+    renter.begin(step);
+    assert.equal(cloud.actions.length, 0, 'nothing is rented before that is settled');
+    await Effect.runPromise(renter.settle);
+    assert.equal(duty.state._tag, 'held');
+    await settle();
+    assert.equal(cloud.machines.size, row.machines);
+    assert.equal(adopting.shares().has(2), row.machines === 1, 'for the share that it was meant for');
+    assert.deepEqual(
+      book().settled.map(({ name, outcome }) => ({ name, outcome })),
+      [{ name: 'r-1-1', outcome: row.outcome }],
+    );
+  });
+}
--- a/src/http.test.ts
+++ b/src/http.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import * as http from 'node:http';
 import { test } from 'node:test';
-import { Client, decode, encode, parseTarget, serve } from './http.js';
+import { Client, decode, encode, parseTarget, serve, WITHHELD } from './http.js';
 import { ONE_WRITE_BYTES } from './constants.js';
 
 /** Sockets on loopback: what a node does at its limit of connections, and that bodies arrive as they were sent. */
@@ -97,3 +97,43 @@
   server.closeAllConnections();
   server.close();
 });
+
+test('http: a request that loses its right while it waits for a connection is never sent', async () => {
+  // Guards against a process that stood still: requests queue inside the agent, long after the right was asked for.
+  const seen: string[] = [];
+  let answerFirst = (): void => undefined;
+  const server = await serve(
+    parseTarget('127.0.0.1:0'),
+    { connections: 5 },
+    1_000,
+    (call) => {
+      seen.push(call.path);
+      if (call.path !== '/first') return Promise.resolve({ status: 200 });
+      return new Promise((resolve) => {
+        answerFirst = () => resolve({ status: 200 });
+      });
+    },
+    failed,
+  );
+  const client = new Client({ host: '127.0.0.1', port: portOf(server) }, 1);
+  let right = true;
+  let asked = 0;
+  const maySend = (): boolean => {
+    asked += 1;
+    return right;
+  };
+  const first = client.request('POST', '/first', { n: 1 }, 2_000, maySend);
+  while (seen.length === 0) await new Promise((resolve) => setTimeout(resolve, 5));
+  const second = client.request('POST', '/second', { n: 2 }, 2_000, maySend);
+  right = false;
+  answerFirst();
+  assert.equal((await first)._tag, 'answer');
+  assert.deepEqual(await second, WITHHELD);
+  right = true;
+  const third = await client.request('POST', '/third', { n: 3 }, 2_000, maySend);
+  assert.equal(third._tag, 'answer', 'the next one has a connection again');
+  assert.deepEqual(seen, ['/first', '/third']);
+  assert.equal(asked, 3, 'each is asked for once, as its bytes would leave');
+  server.closeAllConnections();
+  server.close();
+});
--- a/src/placement/machine-lifecycle.ts
+++ b/src/placement/machine-lifecycle.ts
@@ -6,7 +6,7 @@
 import type { ShareState } from './share-state.js';
 import { bindingKey, type ShareMachine } from './state.js';
 import type { WorkerSessions } from './worker-sessions.js';
-import type { Writer } from './writer.js';
+import type { MachineAssignment, Writer } from './writer.js';
 
 /** What the machine lifecycle needs of its share. */
 export interface MachineLifecycleInput {
@@ -56,12 +56,12 @@
     );
     for (const machine of raise) machine.raiseToken = false;
     const records = [
-      ...raise.map((machine) => ({ machine, share: this.input.slot, releasing: false })),
+      ...raise.map((machine): MachineAssignment => ({ machine, share: this.input.slot })),
       ...release
         .filter(({ machine }) => !raise.includes(machine))
-        .map(({ machine, why }) => {
+        .map(({ machine, why }): MachineAssignment => {
           log.info({ event: 'machine.release_wanted', machine: machine.id, why });
-          return { machine, share: this.input.slot, releasing: true };
+          return { machine, share: this.input.slot, release: why };
         }),
     ];
     while (records.length > 0)
@@ -76,11 +76,15 @@
     const now = this.input.now();
     if (machines.length === 0 || now - this.returnAskedAt < RETURN_ASK_MS) return;
     this.returnAskedAt = now;
+    // The request may be carried out late, whatever its answer: nothing new goes there from now on.
+    for (const id of machines) {
+      const machine = this.input.shareState.machines.get(id);
+      if (machine) machine.cordoned = true;
+    }
     void this.input.returnNow(machines).then((returned) => {
       if (this.input.lost() || !returned) return;
       for (const id of machines) {
         const machine = this.input.shareState.machines.get(id);
-        if (machine) machine.cordoned = true;
         for (const binding of [...(machine?.bound.values() ?? [])])
           this.input.shareState.apply(binding, { _tag: 'lost', how: { _tag: 'released' } });
       }
@@ -91,6 +95,7 @@
   movable(machine: ShareMachine): boolean {
     return (
       !machine.releasing &&
+      !machine.cordoned &&
       !machine.raiseToken &&
       this.input.liveness.idle(machine) &&
       machine.unsureRuns.size === 0 &&
@@ -107,7 +112,7 @@
     if (!this.input.placing()) return false;
     const records = moves.flatMap(({ machine: id, to }) => {
       const machine = this.input.shareState.machines.get(id);
-      return machine && this.movable(machine) ? [{ machine, share: to, releasing: false }] : [];
+      return machine && this.movable(machine) ? [{ machine, share: to }] : [];
     });
     if (records.length === 0) return false;
     log.info({
--- a/src/placement/machine-liveness.ts
+++ b/src/placement/machine-liveness.ts
@@ -31,6 +31,21 @@
   readonly wall: () => number;
 }
 
+/** A machine that is to go back to the cloud. */
+export interface MachineToRelease {
+  readonly machine: ShareMachine;
+  readonly why: string;
+}
+
+interface Hearing {
+  /** This node hears at least half of its machines. */
+  readonly hears: boolean;
+  /** At least half of those that report take up its token. */
+  readonly isHeard: boolean;
+  /** The share was read long enough ago for its machines to have reported. */
+  readonly settledIn: boolean;
+}
+
 /** What may be concluded from a machine's reports and its silence. */
 export class MachineLiveness {
   /** ms: when this holder had read the share's runs; null: not yet. */
@@ -144,64 +159,72 @@
   }
 
   /** Machines to be released now, each with the reason. Looks at each machine once. */
-  toRelease(placing: boolean): readonly { readonly machine: ShareMachine; readonly why: string }[] {
+  toRelease(placing: boolean): readonly MachineToRelease[] {
     const now = this.input.now();
-    const list: { machine: ShareMachine; why: string }[] = [];
+    const list: MachineToRelease[] = [];
     const idle = new Map<string, ShareMachine[]>();
-    let unconfirmed = 0;
-    let reporting = 0;
-    for (const machine of this.input.machines.values()) {
-      if (machine.answeredAt !== null && now - machine.answeredAt < this.leaseMs) {
-        reporting += 1;
-        if (machine.unconfirmedSince !== null) unconfirmed += 1;
-      }
-    }
-    // This node hears few of its machines, or few hear it: that speaks for a fault of its own.
-    const { machines, heard } = this.hearing(this.spotSilentMs);
-    const hears = heard * 2 >= machines;
-    const isHeard = unconfirmed * 2 <= reporting;
-    const settledIn = this.loadedAt !== null && now - this.loadedAt > this.spotSilentMs * 2;
+    const hearing = this.judgeHearing(now);
     for (const machine of this.input.machines.values()) {
       if (machine.releasing) continue;
-      if (machine.answeredAt === null) {
-        if (this.silent(machine, now) && !this.booting(machine)) list.push({ machine, why: 'never came up' });
-        continue;
-      }
-      if (this.silent(machine, now)) list.push({ machine, why: 'silent' });
-      /*
-       * A spot machine that stopped reporting was most likely taken back without notice. Releasing it is proof that
-       * its tasks are gone, long before its lease would be; if it was only cut off, little is lost.
-       */
-      else if (machine.spot && hears && settledIn && now - machine.answeredAt >= this.spotSilentMs)
-        list.push({ machine, why: 'spot silent' });
-      // It reports, and yet does not take up our token for longer than its lease: it does not hear us.
-      else if (
-        machine.unconfirmedSince !== null &&
-        isHeard &&
-        now - machine.unconfirmedSince > this.leaseMs * 2
-      )
-        list.push({ machine, why: 'does not hear' });
-      else if (machine.health._tag === 'sick' && machine.bound.size === 0)
-        list.push({ machine, why: 'sick' });
-      else if (placing && machine.idleSince !== null) {
+      const why = this.releaseReason(machine, now, hearing);
+      if (why !== null) list.push({ machine, why });
+      else if (placing && machine.answeredAt !== null && machine.idleSince !== null) {
         const key = `${machine.type}|${machine.spot}`;
         const known = idle.get(key);
         if (known) known.push(machine);
         else idle.set(key, [machine]);
       }
     }
+    for (const group of idle.values()) list.push(...this.idleTooLong(group, now));
+    return list;
+  }
+
+  /** Whether silence speaks for a fault of machines, or of this node. */
+  private judgeHearing(now: number): Hearing {
+    let unconfirmed = 0;
+    let reporting = 0;
+    for (const machine of this.input.machines.values()) {
+      if (machine.answeredAt === null || now - machine.answeredAt >= this.leaseMs) continue;
+      reporting += 1;
+      if (machine.unconfirmedSince !== null) unconfirmed += 1;
+    }
+    const { machines, heard } = this.hearing(this.spotSilentMs);
+    return {
+      hears: heard * 2 >= machines,
+      isHeard: unconfirmed * 2 <= reporting,
+      settledIn: this.loadedAt !== null && now - this.loadedAt > this.spotSilentMs * 2,
+    };
+  }
+
+  /** Why a machine is to be released whatever else there is to do; null: it is not. */
+  private releaseReason(machine: ShareMachine, now: number, hearing: Hearing): string | null {
+    // Its return was asked for while nothing could be written: the request may still be carried out.
+    if (machine.cordoned) return 'return was asked for';
+    if (machine.answeredAt === null)
+      return this.silent(machine, now) && !this.booting(machine) ? 'never came up' : null;
+    if (this.silent(machine, now)) return 'silent';
     /*
-     * Holding an idle machine for about what a new one costs to bring up bounds the regret either way. That is
-     * for the next gang or two; of many idle machines, those that have been so longest go sooner.
+     * A spot machine that stopped reporting was most likely taken back without notice. Releasing it is proof that
+     * its tasks are gone, long before its lease would be; if it was only cut off, little is lost.
      */
-    for (const group of idle.values()) {
-      group.sort((a, b) => (b.idleSince ?? 0) - (a.idleSince ?? 0));
-      group.forEach((machine, rank) => {
-        if (now - (machine.idleSince ?? now) > this.idleHoldMs(machine, rank))
-          list.push({ machine, why: 'idle' });
-      });
-    }
-    return list;
+    const spotSilent = machine.spot && now - machine.answeredAt >= this.spotSilentMs;
+    if (spotSilent && hearing.hears && hearing.settledIn) return 'spot silent';
+    // It reports, and yet does not take up our token for longer than its lease: it does not hear us.
+    const { unconfirmedSince } = machine;
+    if (unconfirmedSince !== null && hearing.isHeard && now - unconfirmedSince > this.leaseMs * 2)
+      return 'does not hear';
+    return machine.health._tag === 'sick' && machine.bound.size === 0 ? 'sick' : null;
+  }
+
+  /**
+   * Holding an idle machine for about what a new one costs to bring up bounds the regret either way. That is
+   * for the next gang or two; of many idle machines, those that have been so longest go sooner.
+   */
+  private idleTooLong(group: readonly ShareMachine[], now: number): readonly MachineToRelease[] {
+    return [...group]
+      .sort((a, b) => (b.idleSince ?? 0) - (a.idleSince ?? 0))
+      .filter((machine, rank) => now - (machine.idleSince ?? now) > this.idleHoldMs(machine, rank))
+      .map((machine) => ({ machine, why: 'idle' }));
   }
 
   /** Bookkeeping of what only time changes; returns the machines whose lease is over with tasks bound. */
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -100,6 +100,7 @@
   readonly since: number;
   /** Asked to be released; nothing is placed on it. */
   releasing: boolean;
+  /** Its return was asked for without a durable intent, which follows: nothing is placed on it, nor is it moved. */
   cordoned: boolean;
   addr: string;
   session: number;
--- a/src/placement/writer.ts
+++ b/src/placement/writer.ts
@@ -47,6 +47,14 @@
   readonly leftOver: readonly LeftOver[];
 }
 
+/** What a machine's record is to say. */
+export interface MachineAssignment {
+  readonly machine: ShareMachine;
+  readonly share: number;
+  /** Why it is to be released; none: it stays in use. */
+  readonly release?: string;
+}
+
 /** One run of a job's tasks, as it is to be written now. */
 export interface RunWrite {
   readonly job: ShareJob;
@@ -377,14 +385,11 @@
   }
 
   /** Machine records in one transaction. From its start nothing is placed on them, also while the end is open. */
-  async assign(
-    machines: readonly {
-      readonly machine: ShareMachine;
-      readonly share: number;
-      readonly releasing: boolean;
-    }[],
-    rank: Rank,
-  ): Promise<boolean> {
+  async assign(assignments: readonly MachineAssignment[], rank: Rank): Promise<boolean> {
+    // No holder takes back a release intent: a late release request must not meet a machine that is in use again.
+    const machines = assignments.filter(
+      ({ machine, release }) => release !== undefined || !machine.releasing,
+    );
     const first = machines[0];
     if (!first) return true;
     const sent = machines.map((entry) => ({ ...entry, version: entry.machine.version }));
@@ -392,7 +397,7 @@
     const imageBytes = Math.min(IMAGES_RECORD_BYTES, this.input.valueBytes / 4, TXN_BYTES / 2 / sent.length);
     const result = await this.surely(
       sent.map(({ machine, version }) => ({ key: machineKey(machine.id), version })),
-      sent.map(({ machine, share, releasing }) => ({
+      sent.map(({ machine, share, release }) => ({
         _tag: 'put',
         key: machineKey(machine.id),
         value: writeMachineRecord({
@@ -401,7 +406,8 @@
           zone: machine.zone,
           spot: machine.spot,
           at: machine.since,
-          releasing,
+          releasing: release !== undefined,
+          ...(release === undefined ? {} : { release: { reason: release, token: this.input.claim } }),
           addr: machine.addr,
           session: machine.session,
           images: recentImages(machine.images, imageBytes),
--- a/src/service.ts
+++ b/src/service.ts
@@ -92,7 +92,8 @@
 
   const objectives = readObjectives(facts.objectives);
 
-  // What bounds the right to act must count a suspension of the host too. Evidence that something is over elsewhere keeps to
+  // What bounds the right to act must count a suspension of the host too: all that is known of the state service and of other
+  // controllers ages by this clock. Evidence that something is over elsewhere keeps to
   // the steady clock, which never runs ahead.
   const leaseClock = features.fencing
     ? new SuspensionAwareClock(
@@ -106,7 +107,7 @@
   const store = new Store(
     parseTarget(settings.services.state),
     { ...stateLimits, nodes: nodes.length },
-    now,
+    leaseClock,
     callers,
   );
   const cache = new WatchCache(store, leaseClock);
@@ -117,7 +118,7 @@
   const catalog = new CatalogView(cache).current;
 
   const shares = new Map<number, { share: Share; fiber: Fiber.Fiber<unknown> }>();
-  const stateAge = (): number => (store.okAt === 0 ? Number.MAX_SAFE_INTEGER : now() - store.okAt);
+  const stateAge = (): number => (store.okAt === 0 ? Number.MAX_SAFE_INTEGER : leaseClock() - store.okAt);
 
   const leaderNode = (): string | undefined => leases.claim(LEADER)?.node;
 
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -73,6 +73,8 @@
   private incarnation = 0;
   /** The version that a node's next process runs; this one unless said otherwise. */
   readonly versions = new Map<string, typeof compose>();
+  /** ms by which somebody set a node's time of day. */
+  readonly timeOfDayOffsets = new Map<string, number>();
   constructor(private readonly world: World) {}
 
   up(name: string): void {
@@ -82,7 +84,7 @@
     const never = new Promise<never>(() => undefined);
     const ports: Ports = {
       now: () => Date.now(),
-      wall: () => Date.now(),
+      wall: () => Date.now() + (this.timeOfDayOffsets.get(name) ?? 0),
       processorMs: () => 0,
       incarnation: `${name}.${this.incarnation}`,
       callers: (target) => ({
--- /dev/null
+++ b/src/testing/leader-scenario.ts
@@ -0,0 +1,110 @@
+import type { DutyView } from '../duties/admin-api.js';
+import { findLateActions, type LateAction, type Tenure } from './late-actions.js';
+import { Loopback, type LoopbackOptions } from './loopback.js';
+
+/** ms: see {@link LeaderScenario.aftermath}. */
+const AFTERMATH_MS = 2_500;
+
+const submission = (n: number): object => ({
+  uid: `job-${String(n).padStart(6, '0')}`,
+  herd: 'c',
+  owner: 't',
+  shape: 'group',
+  urgency: 'standard',
+  heads: 1,
+  vcpus: 57,
+  accelerators: 8,
+  memoryGb: 300,
+  brand: 'img-1',
+  sizeGb: 1,
+  breeds: null,
+  paddock: null,
+  together: false,
+  scatter: false,
+  agistment: false,
+  expectedS: 60,
+  musterEveryS: 0,
+  musterS: 0,
+  dueS: null,
+});
+
+/** A deployment with the history of its leaders and of the machines whose release was asked for. */
+export class LeaderScenario {
+  readonly tenures: Tenure[] = [];
+  private readonly releaseAskedAt = new Map<string, number>();
+
+  private constructor(readonly deployment: Loopback) {
+    deployment.state.onPut = (key, value, version) => {
+      const at = performance.now();
+      if (key === 'w/c/L') this.tenures.push({ node: (value as { n: string }).n, token: version, from: at });
+      if (key.startsWith('w/m/') && (value as { r: boolean }).r) this.releaseAskedAt.set(key.slice(4), at);
+    };
+  }
+
+  static async play(
+    options: LoopbackOptions,
+    scene: (scenario: LeaderScenario) => Promise<void>,
+  ): Promise<void> {
+    const scenario = new LeaderScenario(await Loopback.start(options));
+    try {
+      await scene(scenario);
+    } finally {
+      await scenario.deployment.stop();
+    }
+  }
+
+  /** A job is accepted by the first node that takes it. */
+  async submit(n: number): Promise<void> {
+    await this.deployment.until('a job to be accepted', async () => {
+      for (const node of Loopback.nodes) {
+        const answer = await this.deployment.ask(node, 'POST', '/v2/runs', submission(n));
+        if (answer._tag === 'answer' && answer.status < 300) return true;
+      }
+      return false;
+    });
+  }
+
+  /** Another node leads now, and the duty of renting is settled there. */
+  async successor(old: string): Promise<Tenure> {
+    return this.deployment.until('a successor', () => {
+      const last = this.tenures.at(-1);
+      return last && last.node !== old ? last : null;
+    });
+  }
+
+  /** The state of renting, as a controller tells it, and how many requests are under way there. */
+  private async renting(node: string): Promise<DutyView | null> {
+    const answer = await fetch(`http://${this.deployment.address(node)}/admin/v1/duties/rent`);
+    const view = (await answer.json()) as { duties?: DutyView[] };
+    return view.duties?.[0] ?? null;
+  }
+
+  /** The node may rent: what an earlier leader left open is settled. */
+  async held(node: string): Promise<void> {
+    await this.deployment.until(
+      'the duty to be held',
+      async () => (await this.renting(node))?.state === 'held',
+    );
+  }
+
+  /** The node has decided to rent, and its request is under way or waits. */
+  async decided(node: string): Promise<void> {
+    await this.deployment.until(
+      'a rental to be decided',
+      async () => ((await this.renting(node))?.open ?? 0) > 0,
+    );
+  }
+
+  lateActions(): readonly LateAction[] {
+    return findLateActions(
+      this.deployment.cloud.actions,
+      this.tenures,
+      (machine, at) => (this.releaseAskedAt.get(machine) ?? Number.POSITIVE_INFINITY) <= at,
+    );
+  }
+
+  /** Time in which a resumed process does whatever it is still going to do. */
+  async aftermath(): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, AFTERMATH_MS));
+  }
+}
--- /dev/null
+++ b/src/testing/loopback.ts
@@ -0,0 +1,278 @@
+/**
+ * Three controllers as real processes on loopback, against stand-ins for the state service and the cloud that log what
+ * takes effect and can hold requests or their answers. Processes can be stopped, resumed, killed and started again.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import type { Server } from 'node:http';
+import { createServer, type AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { BODY_MAX_BYTES } from '../constants.js';
+import { Client, parseTarget, serve, type Answer, type Call, type Reply } from '../http.js';
+import { CloudStandIn } from './cloud-stand-in.js';
+import { StateStandIn } from './state-stand-in.js';
+
+const HOST = '127.0.0.1';
+/** ms: between looks at a condition that is waited for. */
+const LOOK_MS = 20;
+/** ms: longest wait for a condition, also on a busy machine. */
+const WAIT_MS = 40_000;
+
+/** Which service a request goes to. */
+export type Service = 'state' | 'cloud';
+
+/** A request of a controller to a stand-in. */
+export interface SeenRequest {
+  readonly node: string;
+  readonly service: Service;
+  readonly call: Call;
+}
+
+/** Where a request stops: before the stand-in carries it out, or with its answer. */
+export type HoldAt = 'request' | 'answer';
+
+interface Hold {
+  readonly matches: (request: SeenRequest) => boolean;
+  readonly at: HoldAt;
+  readonly released: Promise<void>;
+  held: number;
+}
+
+/** A rule under which requests wait, until it is lifted. */
+export interface HeldRequests {
+  /** How many wait. */
+  readonly count: () => number;
+  readonly release: () => void;
+}
+
+/** How the deployment differs from the ordinary one. */
+export interface LoopbackOptions {
+  readonly features: string;
+  readonly cloudRps: number;
+}
+
+const freePort = (): Promise<number> =>
+  new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, HOST, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+interface NodePorts {
+  readonly api: number;
+  readonly mesh: number;
+  readonly state: number;
+  readonly cloud: number;
+}
+
+/** The deployment; {@link stop} ends its own processes and listeners. */
+export class Loopback {
+  static readonly nodes = ['n0', 'n1', 'n2'] as const;
+  readonly state = new StateStandIn();
+  readonly cloud = new CloudStandIn();
+  private readonly holds: Hold[] = [];
+  private readonly refusals = new Set<(request: SeenRequest) => boolean>();
+  private readonly servers: Server[] = [];
+  private readonly processes = new Map<string, ChildProcess>();
+  private readonly ports = new Map<string, NodePorts>();
+  private readonly directory = mkdtempSync(join(tmpdir(), 'dalegate-loopback-'));
+
+  private constructor(private readonly options: LoopbackOptions) {}
+
+  static async start(options: LoopbackOptions): Promise<Loopback> {
+    const deployment = new Loopback(options);
+    for (const node of Loopback.nodes) {
+      const [api, mesh, state, cloud] = await Promise.all([freePort(), freePort(), freePort(), freePort()]);
+      deployment.ports.set(node, { api, mesh, state, cloud });
+    }
+    await deployment.listen();
+    writeFileSync(join(deployment.directory, 'features.toml'), options.features);
+    for (const node of Loopback.nodes) deployment.spawn(node);
+    return deployment;
+  }
+
+  private portsOf(node: string): NodePorts {
+    const ports = this.ports.get(node);
+    if (!ports) throw new Error(`no node ${node}`);
+    return ports;
+  }
+
+  /** Each node has listeners of its own, so that the stand-ins know who asks. */
+  private async listen(): Promise<void> {
+    for (const node of Loopback.nodes) {
+      for (const service of ['state', 'cloud'] as const) {
+        const target = { host: HOST, port: this.portsOf(node)[service] };
+        const handle = (call: Call): Promise<Reply> => this.answer({ node, service, call });
+        const ignore = (): void => undefined;
+        this.servers.push(await serve(target, { connections: 64 }, 16 * BODY_MAX_BYTES, handle, ignore));
+      }
+    }
+  }
+
+  private async answer(request: SeenRequest): Promise<Reply> {
+    for (const refuses of this.refusals) if (refuses(request)) return { status: 503 };
+    await this.wait(request, 'request');
+    const answer = await this.carryOut(request);
+    await this.wait(request, 'answer');
+    return answer._tag === 'answer' ? { status: answer.status, body: answer.body } : { status: 503 };
+  }
+
+  private carryOut({ node, service, call }: SeenRequest): Promise<Answer> {
+    const path = call.query === '' ? call.path : `${call.path}?${call.query}`;
+    const body = call.body._tag === 'value' ? call.body.value : {};
+    return service === 'state'
+      ? this.state.handle(node, call.method, path, body)
+      : Promise.resolve(this.cloud.handle(node, call.method, path, body));
+  }
+
+  private async wait(request: SeenRequest, at: HoldAt): Promise<void> {
+    for (const hold of this.holds) {
+      if (hold.at !== at || !hold.matches(request)) continue;
+      hold.held += 1;
+      await hold.released;
+    }
+  }
+
+  /** Lets matching requests, or their answers, wait. */
+  hold(at: HoldAt, matches: (request: SeenRequest) => boolean): HeldRequests {
+    let release = (): void => undefined;
+    const released = new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    const hold: Hold = { matches, at, released, held: 0 };
+    this.holds.push(hold);
+    return {
+      count: () => hold.held,
+      release: () => {
+        this.holds.splice(this.holds.indexOf(hold), 1);
+        release();
+      },
+    };
+  }
+
+  /** Answers matching requests 503, until the returned function is called. */
+  refuse(matches: (request: SeenRequest) => boolean): () => void {
+    this.refusals.add(matches);
+    return () => this.refusals.delete(matches);
+  }
+
+  spawn(node: string): void {
+    const file = join(this.directory, `${node}.json`);
+    writeFileSync(file, JSON.stringify(this.settings(node)));
+    const flags = ['--single-threaded', '--max-semi-space-size=4', 'target/app/main.js'];
+    const features = join(this.directory, 'features.toml');
+    const child = spawn(process.execPath, [...flags, '--features', features, '--config', file], {
+      stdio: ['ignore', 'ignore', process.env['LOOPBACK_LOG'] === undefined ? 'ignore' : 'inherit'],
+      env: { ...process.env, LOG_LEVEL: process.env['LOOPBACK_LOG'] ?? 'silent' },
+    });
+    this.processes.set(node, child);
+  }
+
+  private settings(node: string): object {
+    const { api, mesh, state, cloud } = this.portsOf(node);
+    return {
+      host_name: node,
+      area: 'x',
+      api_addr: `${HOST}:${api}`,
+      mesh_addr: `${HOST}:${mesh}`,
+      siblings: Loopback.nodes
+        .filter((other) => other !== node)
+        .map((other) => ({
+          host_name: other,
+          area: 'x',
+          endpoint: `${HOST}:${this.portsOf(other).mesh}`,
+        })),
+      services: { cloud: `${HOST}:${cloud}`, state: `${HOST}:${state}` },
+      facts: {
+        count: 3,
+        zones: ['x'],
+        teams: [{ name: 't', cpus: 0, cpus_max: 0, gpus: 64, gpus_max: 64 }],
+        objectives: [],
+        workers: { report_s: 1, lease_s: 6, gang_wait_s: 20, gang_peer_s: 4, cancel_s: 30 },
+        state: { rps: 600, write_rps: 300, value_kb: 16, txn_ops: 32 },
+        cloud: { rps: this.options.cloudRps, list_lag_s: 2 },
+        quota: { core_share: 1, ram_mb: 300, fd_limit: 1_000 },
+        clock_error_ms: 25,
+      },
+    };
+  }
+
+  private child(node: string): ChildProcess {
+    const child = this.processes.get(node);
+    if (!child) throw new Error(`no process of ${node}`);
+    return child;
+  }
+
+  /** The process stands still. */
+  freeze(node: string): void {
+    this.child(node).kill('SIGSTOP');
+  }
+  resume(node: string): void {
+    this.child(node).kill('SIGCONT');
+  }
+  /** Ends the process without notice; the promise resolves when it is gone. */
+  kill(node: string): Promise<void> {
+    const child = this.child(node);
+    return new Promise((resolve) => {
+      child.once('exit', () => resolve());
+      child.kill('SIGKILL');
+    });
+  }
+
+  /** The API address of a controller. */
+  address(node: string): string {
+    return `${HOST}:${this.portsOf(node).api}`;
+  }
+
+  ask(node: string, method: string, path: string, body?: unknown): Promise<Answer> {
+    return new Client(parseTarget(this.address(node)), 1).request(method, path, body, 5_000);
+  }
+
+  /** Who leads, by the state service, with the fencing token. */
+  leader(): { readonly node: string; readonly token: number } | null {
+    const token = this.state.version('w/c/L');
+    const claim = this.state.value('w/c/L') as { n: string } | undefined;
+    return claim && token > 0 ? { node: claim.n, token } : null;
+  }
+
+  async until<T>(what: string, look: () => T | null | false | Promise<T | null | false>): Promise<T> {
+    const from = performance.now();
+    for (;;) {
+      const found = await look();
+      if (found !== null && found !== false) return found;
+      if (performance.now() - from > WAIT_MS) throw new Error(`waited in vain for: ${what}`);
+      await pause(LOOK_MS);
+    }
+  }
+
+  /** All controllers are ready and one leads. */
+  async ready(): Promise<{ readonly node: string; readonly token: number }> {
+    for (const node of Loopback.nodes) {
+      await this.until(`${node} ready`, async () => {
+        const answer = await this.ask(node, 'GET', '/ready');
+        return answer._tag === 'answer' && answer.status === 200;
+      });
+    }
+    return this.until('a leader', () => this.leader());
+  }
+
+  async stop(): Promise<void> {
+    for (const child of this.processes.values()) child.kill('SIGCONT');
+    await Promise.all(
+      [...this.processes].map(([node, child]) =>
+        child.exitCode === null && child.signalCode === null ? this.kill(node) : Promise.resolve(),
+      ),
+    );
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+    rmSync(this.directory, { recursive: true, force: true });
+  }
+}
--- a/src/testing/state-stand-in.ts
+++ b/src/testing/state-stand-in.ts
@@ -19,6 +19,8 @@
   /** bytes of one value and changes of one transaction, at most; what passed them. */
   limits = { valueBytes: 16 * 1024, ops: 32 };
   readonly tooLarge: string[] = [];
+  /** Told of every put, with the revision that it got. */
+  onPut: (key: string, value: unknown, version: number) => void = () => undefined;
   /** Nodes that alone are refused. */
   readonly refused = new Set<string>();
 
@@ -44,6 +46,11 @@
   value(key: string): unknown {
     return this.data.get(key)?.value;
   }
+  /** The revision of a key; 0: there is none. */
+  version(key: string): number {
+    this.expire();
+    return this.data.get(key)?.version ?? 0;
+  }
   keys(prefix: string): string[] {
     return [...this.data.keys()].filter((key) => key.startsWith(prefix)).sort();
   }
@@ -118,6 +125,7 @@
           lease: write.permit ?? null,
         });
         this.news.push({ key: write.write, value: copy(write.data), version: this.epoch });
+        this.onPut(write.write, write.data, this.epoch);
       } else this.remove(write.remove);
     }
     return reply(200, { epoch: this.epoch });
