--- a/packages/fencing/src/duties.ts
+++ b/packages/fencing/src/duties.ts
@@ -30,8 +30,8 @@
   readonly effects: readonly EffectDefinition[];
 }
 
-/** Names of all duties. */
-export const DUTY_NAMES = [
+/** Duties that hang on the leader's claim. */
+export const LEADER_DUTIES = [
   'rent',
   'release',
   'adopt',
@@ -39,10 +39,17 @@
   'reserve',
   'catalog',
   'protocol-level',
-  'reclaim',
-  'clean-up',
-  'preempt',
 ] as const;
+/** The name of a duty of the leader. */
+export type LeaderDutyName = (typeof LEADER_DUTIES)[number];
+
+/** Duties that hang on the claim of each share. */
+export const SHARE_DUTIES = ['reclaim', 'clean-up', 'preempt'] as const;
+/** The name of a duty of the holder of a share. */
+export type ShareDutyName = (typeof SHARE_DUTIES)[number];
+
+/** Names of all duties. */
+export const DUTY_NAMES = [...LEADER_DUTIES, ...SHARE_DUTIES] as const;
 /** The name of a duty. */
 export type DutyName = (typeof DUTY_NAMES)[number];
 
--- a/packages/fencing/src/duty-state.ts
+++ b/packages/fencing/src/duty-state.ts
@@ -9,7 +9,13 @@
   /** The one current holder. */
   | { readonly _tag: 'held'; readonly token: FencingToken; readonly open: number }
   /** The right to act is in doubt: nothing begins, what is under way comes to its end. */
-  | { readonly _tag: 'draining'; readonly token: FencingToken; readonly open: number }
+  | {
+      readonly _tag: 'draining';
+      readonly token: FencingToken;
+      readonly open: number;
+      /** What it was before, and is again once the lease is renewed under the same claim. */
+      readonly before: 'acquiring' | 'held';
+    }
   /** The claim is gone; calls of this process may still be under way. */
   | { readonly _tag: 'lost'; readonly token: FencingToken; readonly open: number };
 
@@ -53,10 +59,12 @@
     case 'settled':
       return state._tag === 'acquiring' && state.token === event.token ? { ...state, _tag: 'held' } : state;
     case 'suspended':
-      return state._tag === 'acquiring' || state._tag === 'held' ? { ...state, _tag: 'draining' } : state;
+      return state._tag === 'acquiring' || state._tag === 'held'
+        ? { ...state, _tag: 'draining', before: state._tag }
+        : state;
     case 'restored':
-      // Nobody else acted meanwhile, since the claim is the same; reading open intents again is cheap and surely right.
-      return state._tag === 'draining' ? { ...state, _tag: 'acquiring' } : state;
+      // Nobody else acted meanwhile, since the claim is the same: what was settled still is.
+      return state._tag === 'draining' ? { _tag: state.before, token: state.token, open: state.open } : state;
     case 'released':
       if (state._tag === 'idle') return state;
       return state.open === 0 ? { _tag: 'idle' } : { _tag: 'lost', token: state.token, open: state.open };
--- a/packages/fencing/src/duty.test.ts
+++ b/packages/fencing/src/duty.test.ts
@@ -87,6 +87,11 @@
   right.token = null;
   assert.equal(duty.begin('rental request'), null);
   right.token = tokenOf(5);
+  assert.equal(duty.beginSettlement('settlement'), null);
+  // Guards against a duty that nobody settles again: after an outage machines were neither adopted nor returned.
+  assert.ok(duty.begin('rental request'), 'held again under the same claim');
+  right.token = tokenOf(9);
+  duty.apply({ _tag: 'claimed', token: tokenOf(9) });
   assert.equal(duty.begin('rental request'), null, 'what was left open is settled first');
   assert.ok(duty.beginSettlement('settlement'));
 });
--- a/src/duties/duties.test.ts
+++ b/src/duties/duties.test.ts
@@ -4,6 +4,7 @@
 import type { Reply } from '../http.js';
 import { PeerRequests } from '../peers/peer-requests.js';
 import { leaderDuties } from '../testing/duties.js';
+import { returnUrgently } from './urgent-return.js';
 import { DutiesApi, type DutiesView } from './admin-api.js';
 import { OrderGate } from './order-gate.js';
 
@@ -177,3 +178,41 @@
   assert.equal(await statusOf(2, 1), 200);
   assert.equal(await requests.answer('/nothing', {}), null);
 });
+
+const returns: readonly {
+  name: string;
+  stateAge?: number;
+  leader?: string;
+  answer?: unknown;
+  asked: number;
+  returned: boolean;
+}[] = [
+  { name: 'the leader says that they are gone', answer: { returned: true }, asked: 1, returned: true },
+  { name: 'the leader does not answer', answer: null, asked: 1, returned: false },
+  { name: 'the state service answers: the record is the way', stateAge: 100, asked: 0, returned: false },
+  { name: 'this node leads', leader: 'n0', asked: 0, returned: true },
+  { name: 'nobody leads', leader: '', asked: 0, returned: false },
+];
+for (const row of returns) {
+  test(`urgent return: ${row.name}`, async () => {
+    const orders: unknown[] = [];
+    const returned = await returnUrgently(
+      {
+        share: 2,
+        duty: leaderDuties(HELD_UNDER, () => 0).leader('release'),
+        me: 'n0',
+        leaderNode: () => (row.leader === '' ? undefined : (row.leader ?? 'n1')),
+        stateAge: () => row.stateAge ?? 60_000,
+        returnHere: () => Promise.resolve(true),
+        ask: (_node, _path, body) => {
+          orders.push(body);
+          return Promise.resolve(row.answer);
+        },
+      },
+      ['i-1'],
+    );
+    assert.equal(returned, row.returned);
+    const order = { machines: ['i-1'], share: 2, token: HELD_UNDER };
+    assert.deepEqual(orders, row.asked === 1 ? [order] : []);
+  });
+}
--- a/src/duties/registry.ts
+++ b/src/duties/registry.ts
@@ -1,33 +1,19 @@
 import {
   Duty,
   DutyAudit,
+  LEADER_DUTIES,
+  SHARE_DUTIES,
   tokenOf,
   type AuditEvent,
   type DutyName,
   type FencingToken,
+  type LeaderDutyName,
+  type ShareDutyName,
 } from '@dalegate/fencing';
 import { LEADER } from '../claims/decide.js';
 import type { LeaseManager } from '../claims/lease-manager.js';
 import { log } from '../log.js';
 
-/** Duties that hang on the leader's claim. */
-export const LEADER_DUTIES = [
-  'rent',
-  'release',
-  'adopt',
-  'move',
-  'reserve',
-  'catalog',
-  'protocol-level',
-] as const satisfies readonly DutyName[];
-/** The name of a duty of the leader. */
-export type LeaderDutyName = (typeof LEADER_DUTIES)[number];
-
-/** Duties that hang on the claim of each share. */
-export const SHARE_DUTIES = ['reclaim', 'clean-up', 'preempt'] as const satisfies readonly DutyName[];
-/** The name of a duty of the holder of a share. */
-export type ShareDutyName = (typeof SHARE_DUTIES)[number];
-
 /** Duties of the leader that have to settle what an earlier holder left open before they act. */
 const SETTLED_BY_LEADER: ReadonlySet<DutyName> = new Set(['rent']);
 
--- /dev/null
+++ b/src/duties/urgent-return.ts
@@ -0,0 +1,38 @@
+import type { Duty } from '@dalegate/fencing';
+import { CLOUD_TIMEOUT_MS, HEARTBEAT_FRESH_MS, RELEASE_MAX } from '../constants.js';
+import type { ReturnOrder } from '../peers/peer-requests.js';
+
+/** What an urgent return needs of its controller. */
+export interface UrgentReturnInput {
+  readonly share: number;
+  readonly duty: Duty;
+  readonly me: string;
+  readonly leaderNode: () => string | undefined;
+  /** ms since the state service last answered this node. */
+  readonly stateAge: () => number;
+  /** Returns machines as the leader that this node is. */
+  readonly returnHere: (machines: readonly string[]) => Promise<boolean>;
+  readonly ask: (node: string, path: string, body: unknown, timeoutMs: number) => Promise<unknown>;
+}
+
+/**
+ * Has machines returned to the cloud while the state service can't be written, so that no durable intent can come first. Where
+ * it answers, the machine's record is the way: it tells a later leader too. True: they are gone.
+ */
+export const returnUrgently = async (
+  input: UrgentReturnInput,
+  machines: readonly string[],
+): Promise<boolean> => {
+  if (machines.length > RELEASE_MAX || input.stateAge() < HEARTBEAT_FRESH_MS) return false;
+  const to = input.leaderNode();
+  const permit = to === undefined ? null : input.duty.begin('order to return machines at once');
+  if (to === undefined || permit === null) return false;
+  try {
+    if (to === input.me) return await input.returnHere(machines);
+    const order: ReturnOrder = { machines, share: input.share, token: permit.token };
+    const answer = await input.ask(to, '/return', order, CLOUD_TIMEOUT_MS);
+    return (answer as { returned?: boolean } | null)?.returned === true;
+  } finally {
+    permit.end();
+  }
+};
--- a/src/fencing.test.ts
+++ b/src/fencing.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { writeMachineRecord } from './fleet/records.js';
+import { machineRecord } from './testing/bodies.js';
 import { LeaderScenario } from './testing/leader-scenario.js';
 import type { LoopbackOptions, SeenRequest } from './testing/loopback.js';
 
@@ -66,19 +67,9 @@
       const old = await deployment.ready();
       const held = deployment.hold('request', (seen) => seen.node === old.node && isRelease(seen));
       deployment.cloud.add('i-900001');
-      const record = {
-        share: 0,
-        type: 'g',
-        zone: 'x',
-        spot: false,
-        at: 0,
-        releasing: true,
-        addr: '',
-        session: 0,
-      };
       await deployment.state.handle('test', 'POST', '/txn', {
         when: [],
-        writes: [{ write: 'w/m/i-900001', data: writeMachineRecord(record) }],
+        writes: [{ write: 'w/m/i-900001', data: writeMachineRecord(machineRecord({ releasing: true })) }],
       });
       await deployment.until('the release to be under way', () => held.count() > 0);
       deployment.freeze(old.node);
--- a/src/fleet/adopter.ts
+++ b/src/fleet/adopter.ts
@@ -9,6 +9,7 @@
 import type { Cloud, ListedMachine, MachinesResult } from './cloud.js';
 import type { MachineIndex } from './machine-index.js';
 import type { MachineRecorder } from './machine-recorder.js';
+import { newMachineRecord } from './records.js';
 import type { Returner } from './returner.js';
 
 /** s: added to twice the list's lag, before a listed machine that nobody knows is taken for unknown. */
@@ -43,18 +44,9 @@
   adopt(id: string, type: string, zone: string, spot: boolean, at = 0): void {
     const { cache, queue, returner } = this.input;
     if (cache.get(machineKey(id)) !== undefined || queue.has(id) || returner.returned(id)) return;
-    queue.add(id, {
-      share: this.smallestShare(type, zone, spot),
-      type,
-      zone,
-      spot,
-      // By a report its age is not known, and a late copy may speak of a machine long gone: it is not taken for
-      // one that boots, and goes back if it is not heard from within a lease.
-      at,
-      releasing: false,
-      addr: '',
-      session: 0,
-    });
+    // By a report its age is not known, and a late copy may speak of a machine long gone: it is not taken for
+    // one that boots, and goes back if it is not heard from within a lease.
+    queue.add(id, newMachineRecord(this.smallestShare(type, zone, spot), { type, zone, spot }, at));
   }
 
   private smallestShare(type: string, zone: string, spot: boolean): number {
--- a/src/fleet/leader.test.ts
+++ b/src/fleet/leader.test.ts
@@ -5,6 +5,7 @@
 import type { Callers } from '../http.js';
 import { Store } from '../store/client.js';
 import { WatchCache } from '../store/watch-cache.js';
+import { machineRecord } from '../testing/bodies.js';
 import { leaderDuties } from '../testing/duties.js';
 import { StateStandIn } from '../testing/state-stand-in.js';
 import { Cloud } from './cloud.js';
@@ -16,11 +17,15 @@
 
 const type = { sku: 'g', vcpus: 8, accelerators: 1, memoryGb: 8, localGb: 1, hourly: 1, marketPrice: 1 };
 
+/** A machine that its holder wants released. */
+const RECORD = machineRecord({ spot: true, releasing: true });
+
 /** The leader alone, against the state stand-in and a cloud that counts, on a virtual clock. */
 const withLeader = async (
   known: readonly string[],
   work: (leader: Leader, state: StateStandIn) => void,
   seconds: number,
+  mayAct: () => boolean = () => true,
 ): Promise<{ calls: string[]; state: StateStandIn }> => {
   mock.timers.enable({ apis: ['setTimeout', 'Date', 'setInterval'] });
   try {
@@ -40,19 +45,9 @@
         });
       },
     });
-    const record = {
-      share: 0,
-      type: 'g',
-      zone: 'x',
-      spot: true,
-      at: 0,
-      releasing: true,
-      addr: '',
-      session: 0,
-    };
     const puts = [
       { write: 'w/c/L', data: { n: 'n0', i: '1' } },
-      ...known.map((id) => ({ write: `w/m/${id}`, data: writeMachineRecord(record) })),
+      ...known.map((id) => ({ write: `w/m/${id}`, data: writeMachineRecord(RECORD) })),
     ];
     // All records are put at once; from then on what the settings say holds.
     state.limits = { valueBytes: 16 * 1024, ops: puts.length };
@@ -66,14 +61,14 @@
       store,
       cache,
       cloud: new Cloud({ host: 'cloud', port: 1 }, 2, 1, now, callers),
-      duties: leaderDuties(1, now),
+      duties: leaderDuties(1, now, mayAct),
       journal: null,
       shares: 3,
       valueBytes: 16 * 1024,
       maySplit: () => true,
       listLagS: 10,
       catalog: () => new Map(),
-      entitled: () => 1,
+      entitled: () => (mayAct() ? 1 : null),
       summaries: () => [],
       move: () => Effect.void,
       now,
@@ -123,3 +118,22 @@
     assert.equal(records.length, machines);
   });
 }
+
+test('leader: after its lease was in doubt it returns machines again under the same claim', async () => {
+  // Guards against duties that stayed where they were after an outage: nothing was returned until the next leader.
+  const doubtful = (): boolean => Date.now() > 3_000 && Date.now() < 6_000;
+  const inDoubt: boolean[] = [];
+  const { calls, state } = await withLeader(
+    [],
+    (leader, stateService) => {
+      setTimeout(() => void leader.returnNow(['i-000001']).then((done) => inDoubt.push(done)), 4_000);
+      const put = { write: 'w/m/i-000002', data: writeMachineRecord(RECORD) };
+      setTimeout(() => void stateService.handle('n0', 'POST', '/txn', { when: [], writes: [put] }), 8_000);
+    },
+    20,
+    () => !doubtful(),
+  );
+  assert.deepEqual(inDoubt, [false], 'nothing is sent while the lease is in doubt');
+  assert.equal(calls.filter((path) => path === '/machines/release').length, 1);
+  assert.equal(state.version('w/m/i-000002'), 0, 'and its record is gone');
+});
--- a/src/fleet/records.ts
+++ b/src/fleet/records.ts
@@ -23,6 +23,13 @@
   readonly release?: ReleaseIntent;
 }
 
+/** The record of a machine that nobody has heard of yet. */
+export const newMachineRecord = (
+  share: number,
+  kind: Pick<MachineRecord, 'type' | 'zone' | 'spot'>,
+  at: number,
+): MachineRecord => ({ share, ...kind, at, releasing: false, addr: '', session: 0 });
+
 /** Writes a machine record as it is stored. */
 export const writeMachineRecord = (record: MachineRecord): unknown => ({
   s: record.share,
--- a/src/fleet/renter.ts
+++ b/src/fleet/renter.ts
@@ -17,6 +17,7 @@
 import { kindKey } from './machine-index.js';
 import type { MachineRecorder, NewMachine } from './machine-recorder.js';
 import type { Step } from './plan.js';
+import { newMachineRecord, type MachineRecord } from './records.js';
 
 /** A step of the leader's plan that rents machines. */
 export type RentStep = Step & { readonly _tag: 'rent' };
@@ -43,6 +44,16 @@
   unknown: 'unanswered',
 };
 
+const kindOf = ({
+  machineType,
+  zone,
+  spot,
+}: RentalIntent): Pick<MachineRecord, 'type' | 'zone' | 'spot'> => ({
+  type: machineType,
+  zone,
+  spot,
+});
+
 const requestOf = (intent: RentalIntent): RentRequest => ({
   name: intent.name,
   type: intent.machineType,
@@ -149,11 +160,10 @@
 
   private record(permit: Permit, intent: RentalIntent, machines: readonly string[]): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const { machineType: type, zone, spot } = intent;
       const at = this.input.wall();
       const made = machines.map((id, index): NewMachine => [
         id,
-        { share: intent.shares[index] ?? 0, type, zone, spot, at, releasing: false, addr: '', session: 0 },
+        newMachineRecord(intent.shares[index] ?? 0, kindOf(intent), at),
       ]);
       while (made.length > 0) {
         const batch = made.splice(0, this.input.store.batchOps);
@@ -199,19 +209,9 @@
       if (result._tag === 'withheld') return 'withheld';
       if (result._tag !== 'rented') return 'abandoned';
       // Some may have been recorded by the earlier leader: the queue leaves out those that are known.
-      const { machineType: type, zone, spot, at } = intent;
       result.machines.forEach((id, index) => {
         const share = intent.shares[index] ?? 0;
-        this.input.adopting.add(id, {
-          share,
-          type,
-          zone,
-          spot,
-          at,
-          releasing: false,
-          addr: '',
-          session: 0,
-        });
+        this.input.adopting.add(id, newMachineRecord(share, kindOf(intent), intent.at));
       });
       return 'repeated by successor';
     });
--- a/src/placement/binder.ts
+++ b/src/placement/binder.ts
@@ -3,12 +3,12 @@
 import type { ShareState } from './share-state.js';
 import type { Binding, ShareJob } from './state.js';
 import type { WorkerSessions } from './worker-sessions.js';
-import type { RunWrite, Writer } from './writer.js';
+import type { RunWrite, RunWriter } from './run-writer.js';
 
 /** What the binder needs of its share. */
 export interface BinderInput {
   readonly shareState: ShareState;
-  readonly writer: Writer;
+  readonly runs: RunWriter;
   readonly sessions: WorkerSessions;
   /** The share's claim is no longer held by this process. */
   readonly lost: () => boolean;
@@ -38,14 +38,14 @@
     for (const [job, bindings] of byJob) {
       const chunks = [...new Set(bindings.map((binding) => chunkOf(binding.index)))];
       const entries = chunks.map((chunk) => ({
-        write: this.input.writer.runWrite(job, chunk),
+        write: this.input.runs.runWrite(job, chunk),
         bindings: bindings.filter((binding) => chunkOf(binding.index) === chunk),
       }));
       // A gang's bind is one conditional write.
       if (job.spec.kind === 'gang') commits.push(this.commitBinds(entries, job));
       else arrays.push(...entries);
     }
-    for (const batch of this.input.writer.batches(arrays)) commits.push(this.commitBinds(batch));
+    for (const batch of this.input.runs.batches(arrays)) commits.push(this.commitBinds(batch));
     return Promise.all(commits);
   }
 
@@ -55,8 +55,8 @@
   ): Promise<void> {
     const writes = entries.map((entry) => entry.write);
     const committed = gang
-      ? await this.input.writer.commitGang(gang, writes, 'bind')
-      : await this.input.writer.commitRuns(writes, 'bind');
+      ? await this.input.runs.commitGang(gang, writes, 'bind')
+      : await this.input.runs.commitRuns(writes, 'bind');
     const bindings = entries.flatMap((entry) => entry.bindings);
     for (const binding of bindings) {
       if (committed) this.input.shareState.apply(binding, { _tag: 'durable' });
--- /dev/null
+++ b/src/placement/claim-transactions.ts
@@ -0,0 +1,113 @@
+import * as Effect from 'effect/Effect';
+import { COMMITS_AT_ONCE, STORE_RETRY_MS } from '../constants.js';
+import type { Condition, Store, TxnResult, Write } from '../store/client.js';
+import { claimKey } from '../store/keys.js';
+import type { Rank } from '../store/rate-limiter.js';
+
+/** What the transactions need of their share. */
+export interface ClaimTransactionsInput {
+  readonly store: Store;
+  readonly slot: number;
+  readonly claim: number;
+  /** Another holder's claim showed up in a condition. */
+  readonly lost: () => void;
+  readonly isLost: () => boolean;
+}
+
+/** Transactions of a share: conditional on its claim, carried to a known end, several side by side. */
+export class ClaimTransactions {
+  private running = 0;
+  private readonly queue: (() => void)[] = [];
+
+  constructor(private readonly input: ClaimTransactionsInput) {}
+
+  private guard(): Condition {
+    return { key: claimKey(String(this.input.slot)), version: this.input.claim };
+  }
+
+  /** Transactions under way are few: each has its time limit, which waiting for a socket would use up. */
+  private async slotted<A>(work: () => Promise<A>): Promise<A> {
+    if (this.running >= COMMITS_AT_ONCE)
+      await new Promise<void>((resolve) => {
+        this.queue.push(resolve);
+      });
+    else this.running += 1;
+    try {
+      return await work();
+    } finally {
+      const next = this.queue.shift();
+      if (next) next();
+      else this.running -= 1;
+    }
+  }
+
+  /**
+   * Carries a transaction to a known end. Without an answer it may still be applied later, so the same one
+   * is sent again until it is committed or can no longer be: every write is conditional on the version of a
+   * key that only this holder changes (`witness`), which tells a late first copy from somebody else's change.
+   */
+  commit(
+    when: readonly Condition[],
+    writes: readonly Write[],
+    witness: string,
+    rank: Rank,
+  ): Promise<TxnResult> {
+    return this.slotted(() => Effect.runPromise(this.attempts(when, writes, witness, rank)));
+  }
+
+  private attempts(
+    when: readonly Condition[],
+    writes: readonly Write[],
+    witness: string,
+    rank: Rank,
+  ): Effect.Effect<TxnResult> {
+    return Effect.gen({ self: this }, function* () {
+      let unsure = false;
+      for (;;) {
+        if (this.input.isLost() && !unsure) return { _tag: 'refused', why: 'lost' };
+        const result = yield* this.input.store.txn([this.guard(), ...when], writes, rank);
+        switch (result._tag) {
+          case 'committed':
+            return result;
+          case 'noLease':
+            return result;
+          case 'refused':
+            if (!unsure) return result;
+            break;
+          case 'unknown':
+            unsure = true;
+            break;
+          case 'conflict': {
+            if (result.failed.includes(this.guard().key)) {
+              this.input.lost();
+              return result;
+            }
+            if (!unsure) return result;
+            const now = yield* this.input.store.get(witness, rank);
+            const before = when.find((condition) => condition.key === witness)?.version ?? 0;
+            if (now._tag === 'found' && now.item.version !== before) {
+              return { _tag: 'committed', revision: now.item.version };
+            }
+            if (now._tag === 'absent' && before !== 0) return { _tag: 'committed', revision: 0 };
+            if (now._tag !== 'failed') return result;
+            break;
+          }
+        }
+        if (this.input.isLost()) return { _tag: 'refused', why: 'lost' };
+        yield* Effect.sleep(STORE_RETRY_MS);
+      }
+    });
+  }
+
+  /** Left-over keys, under the claim alone. They cost nothing but room, so a failure is simply tried again later. */
+  async remove(keys: readonly string[]): Promise<boolean> {
+    const result = await Effect.runPromise(
+      this.input.store.txn(
+        [this.guard()],
+        keys.map((key) => ({ _tag: 'delete', key })),
+        'work',
+      ),
+    );
+    return result._tag === 'committed';
+  }
+}
--- /dev/null
+++ b/src/placement/final-record-writer.ts
@@ -0,0 +1,105 @@
+import type { LeftOver } from '@dalegate/fencing';
+import { writeFinalRecord } from '../jobs/codec.js';
+import type { FinalRecord, FinalState } from '../jobs/model.js';
+import { log } from '../log.js';
+import type { Store, Write } from '../store/client.js';
+import { finalKey, followsKey, jobKey, runKey, runPartKey } from '../store/keys.js';
+import type { ClaimTransactions } from './claim-transactions.js';
+import type { ShareJob } from './state.js';
+
+/** Jobs whose final records are durable, and runs that are left to clear away. */
+export interface Finished {
+  readonly done: readonly { readonly job: ShareJob; readonly final: FinalRecord }[];
+  readonly leftOver: readonly LeftOver[];
+}
+
+/** What the writer of final records needs of its share. */
+export interface FinalRecordWriterInput {
+  readonly transactions: ClaimTransactions;
+  readonly store: Store;
+  readonly slot: number;
+  /** ms since the epoch. */
+  readonly wall: () => number;
+}
+
+/** Writes the final records of jobs that are over, in place of everything else that is stored of them. */
+export class FinalRecordWriter {
+  constructor(private readonly input: FinalRecordWriterInput) {}
+
+  /** How many changes the final record of a job takes, with all its runs. */
+  finalSize(job: ShareJob): number {
+    let parts = job.parts;
+    for (const chunk of job.chunks.values()) parts += 1 + chunk.parts;
+    return 2 + parts;
+  }
+
+  /** Final records of jobs in one transaction. Returns those that are durable, with runs left to clear away. */
+  async finish(jobs: readonly { readonly job: ShareJob; readonly state: FinalState }[]): Promise<Finished> {
+    const first = jobs[0];
+    if (!first) return { done: [], leftOver: [] };
+    const leftOver: LeftOver[] = [];
+    const writes: Write[] = [];
+    const finals = jobs.map(({ job, state }) => ({
+      job,
+      final: { state, at: this.input.wall(), tasks: job.spec.tasks },
+    }));
+    for (const { job, final } of finals) {
+      job.finishing = true;
+      writes.push(
+        { _tag: 'put', key: finalKey(job.spec.id), value: writeFinalRecord(final) },
+        { _tag: 'delete', key: jobKey(job.spec.id) },
+      );
+    }
+    for (const key of jobs.flatMap(({ job }) => this.keysOf(job))) {
+      if (writes.length < this.input.store.txnOps) writes.push({ _tag: 'delete', key: key.key });
+      else leftOver.push(key);
+    }
+    const result = await this.input.transactions.commit(
+      jobs.flatMap(({ job }) => [
+        { key: jobKey(job.spec.id), version: job.version },
+        // Only the holder writes it, so it tells whether an unanswered copy was applied; a user's late cancellation
+        // changes the job's record too, and would pass for it.
+        { key: finalKey(job.spec.id), version: 0 },
+      ]),
+      writes,
+      finalKey(first.job.spec.id),
+      'bind',
+    );
+    if (result._tag !== 'committed') {
+      for (const { job } of jobs) {
+        job.finishing = false;
+        if (
+          result._tag === 'conflict' &&
+          result.failed.some((key) => key === jobKey(job.spec.id) || key === finalKey(job.spec.id))
+        )
+          job.finishAlone = true;
+      }
+      return { done: [], leftOver: [] };
+    }
+    for (const { job, state } of jobs)
+      log.info({ event: 'job.final', job: job.spec.id, state, ageMs: this.input.wall() - job.at });
+    return { done: finals, leftOver };
+  }
+
+  /** Everything that is stored of a job beside its record. */
+  private keysOf(job: ShareJob): readonly LeftOver[] {
+    const runs = [...job.chunks].flatMap(([number, chunk]): readonly LeftOver[] => {
+      // The parts of a run are written together with its record. One that was never written has no revision yet.
+      const revision = chunk.version === 0 ? null : chunk.version;
+      const parts = Array.from({ length: chunk.parts }, (_, part) =>
+        runPartKey(this.input.slot, job.spec.id, number, part),
+      );
+      return [runKey(this.input.slot, job.spec.id, number), ...parts].map((key) => ({
+        key,
+        revision,
+        reason: 'job over',
+      }));
+    });
+    const follows = Array.from({ length: job.parts }, (_, part): LeftOver => ({
+      key: followsKey(job.spec.id, part),
+      revision: null,
+      reason: 'job over',
+    }));
+    return [...runs, ...follows];
+  }
+}
--- a/src/placement/gang.test.ts
+++ b/src/placement/gang.test.ts
@@ -6,7 +6,8 @@
 import { jobSpec, machineRecord } from '../testing/bodies.js';
 import { ShareState } from './share-state.js';
 import { chunkOf, counts, partsOf, readRunRecord, validAttempt } from './records.js';
-import { Writer } from './writer.js';
+import { ClaimTransactions } from './claim-transactions.js';
+import { RunWriter } from './run-writer.js';
 
 /** A gang whose bind does not fit in one transaction: at every moment all of it is bound, or nothing. */
 interface Limits {
@@ -46,16 +47,20 @@
     () => ({ request }),
   );
   const shareState = new ShareState({ now: () => 0, wall: () => 0, poke: () => undefined });
-  const writer = new Writer({
+  const claimTransactions = new ClaimTransactions({
     store,
     slot: 0,
     claim: 5,
-    wall: () => 0,
-    valueBytes,
-    maySplit: () => true,
     lost: () => undefined,
     isLost: () => false,
   });
+  const writer = new RunWriter({
+    transactions: claimTransactions,
+    store,
+    slot: 0,
+    valueBytes,
+    maySplit: () => true,
+  });
   const job = shareState.adoptJob(
     {
       spec: jobSpec('job-1', {
--- a/src/placement/left-over-keys.ts
+++ b/src/placement/left-over-keys.ts
@@ -4,7 +4,7 @@
 import { log } from '../log.js';
 import type { Store } from '../store/client.js';
 import { parseRunKey, removalsKey } from '../store/keys.js';
-import type { Writer } from './writer.js';
+import type { ClaimTransactions } from './claim-transactions.js';
 
 /** Keys of a share that belong to nothing any more. */
 export interface LeftOverKeys {
@@ -22,7 +22,7 @@
 
   constructor(
     private readonly store: Store,
-    private readonly writer: Writer,
+    private readonly transactions: ClaimTransactions,
   ) {}
 
   discard(keys: readonly LeftOver[]): void {
@@ -35,7 +35,7 @@
 
   async step(): Promise<void> {
     const batch = this.keys.splice(0, this.store.batchOps);
-    if (batch.length > 0 && !(await this.writer.clear(batch))) this.keys.push(...batch);
+    if (batch.length > 0 && !(await this.transactions.remove(batch))) this.keys.push(...batch);
   }
 }
 
--- a/src/placement/machine-lifecycle.ts
+++ b/src/placement/machine-lifecycle.ts
@@ -6,7 +6,7 @@
 import type { ShareState } from './share-state.js';
 import { bindingKey, type ShareMachine } from './state.js';
 import type { WorkerSessions } from './worker-sessions.js';
-import type { MachineAssignment, Writer } from './writer.js';
+import type { MachineAssignment, MachineRecordWriter } from './machine-record-writer.js';
 
 /** What the machine lifecycle needs of its share. */
 export interface MachineLifecycleInput {
@@ -15,7 +15,7 @@
   readonly shareState: ShareState;
   readonly liveness: MachineLiveness;
   readonly sessions: WorkerSessions;
-  readonly writer: Writer;
+  readonly records: MachineRecordWriter;
   readonly now: () => number;
   /** The share has been rebuilt, so it may place work and give machines away. */
   readonly placing: () => boolean;
@@ -65,7 +65,7 @@
         }),
     ];
     while (records.length > 0)
-      void this.input.writer.assign(
+      void this.input.records.assign(
         records.splice(0, this.input.store.batchOps),
         raise.length > 0 ? 'bind' : 'work',
       );
@@ -122,7 +122,7 @@
     });
     const batches: Promise<boolean>[] = [];
     while (records.length > 0)
-      batches.push(this.input.writer.assign(records.splice(0, this.input.store.batchOps), 'bind'));
+      batches.push(this.input.records.assign(records.splice(0, this.input.store.batchOps), 'bind'));
     return (await Promise.all(batches)).some(Boolean);
   }
 }
--- a/src/placement/writer.test.ts
+++ b/src/placement/machine-record-writer.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { recentImages } from './writer.js';
+import { recentImages } from './machine-record-writer.js';
 
 /**
  * Guards that a machine's images are still known after it moved to another share: gangs were placed on machines without
--- a/src/placement/record-flusher.test.ts
+++ b/src/placement/record-flusher.test.ts
@@ -6,7 +6,9 @@
 import { RecordFlusher } from './record-flusher.js';
 import { ShareState } from './share-state.js';
 import { UnmarkedRemoval } from './left-over-keys.js';
-import { Writer } from './writer.js';
+import { ClaimTransactions } from './claim-transactions.js';
+import { FinalRecordWriter } from './final-record-writer.js';
+import { RunWriter } from './run-writer.js';
 
 /** Final records: each is written once, whatever order the answers and the watch's events come in. */
 const spec: JobSpec = {
@@ -54,21 +56,19 @@
   );
   const settled: string[] = [];
   const shareState = new ShareState({ now: () => 0, wall: () => 0, poke: () => undefined });
-  const writer = new Writer({
+  const transactions = new ClaimTransactions({
     store,
     slot: 0,
     claim: 1,
-    wall: () => 0,
-    valueBytes: 2048,
-    maySplit: () => true,
     lost: () => undefined,
     isLost: () => false,
   });
   const flusher = new RecordFlusher({
     store,
     shareState,
-    writer,
-    leftOver: new UnmarkedRemoval(store, writer),
+    runs: new RunWriter({ transactions, store, slot: 0, valueBytes: 2048, maySplit: () => true }),
+    finals: new FinalRecordWriter({ transactions, store, slot: 0, wall: () => 0 }),
+    leftOver: new UnmarkedRemoval(store, transactions),
     now: () => 0,
     lost: () => false,
     poke: () => undefined,
--- a/src/placement/record-flusher.ts
+++ b/src/placement/record-flusher.ts
@@ -4,13 +4,15 @@
 import type { Store } from '../store/client.js';
 import type { ShareState } from './share-state.js';
 import { isFinished, type ShareJob } from './state.js';
-import type { RunWrite, Writer } from './writer.js';
+import type { FinalRecordWriter } from './final-record-writer.js';
+import type { RunWrite, RunWriter } from './run-writer.js';
 
 /** What the record flusher needs of its share. */
 export interface RecordFlusherInput {
   readonly store: Store;
   readonly shareState: ShareState;
-  readonly writer: Writer;
+  readonly runs: RunWriter;
+  readonly finals: FinalRecordWriter;
   readonly leftOver: LeftOverKeys;
   readonly now: () => number;
   /** The share's claim is no longer held by this process. */
@@ -40,7 +42,7 @@
       if (job.bindings.size === 0 && (job.cancelled || isFinished(job))) continue;
       for (const [number, chunk] of job.chunks) {
         if (chunk.dirtyFrom !== null && now - chunk.dirtyFrom >= ageMs)
-          entries.push({ write: this.input.writer.runWrite(job, number) });
+          entries.push({ write: this.input.runs.runWrite(job, number) });
       }
     }
     const { leftOver } = this.input;
@@ -49,8 +51,8 @@
     this.flushedAt = now;
     const work = async (): Promise<void> => {
       // One at a time: what changes meanwhile shares the next.
-      for (const batch of this.input.writer.batches(entries).slice(0, 1))
-        await this.input.writer.commitRuns(
+      for (const batch of this.input.runs.batches(entries).slice(0, 1))
+        await this.input.runs.commitRuns(
           batch.map((entry) => entry.write),
           'work',
         );
@@ -71,7 +73,7 @@
       batch = [];
       size = 0;
       if (sent.length === 0) return;
-      void this.input.writer.finish(sent).then(({ done, leftOver }) => {
+      void this.input.finals.finish(sent).then(({ done, leftOver }) => {
         for (const { job, final } of done) {
           this.input.shareState.jobs.delete(job.spec.id);
           this.input.settled(job.spec.id, final);
@@ -84,7 +86,7 @@
     for (const job of this.input.shareState.jobs.values()) {
       if (job.finishing || job.writing > 0 || job.bindings.size > 0) continue;
       if (!job.cancelled && !isFinished(job)) continue;
-      const more = this.input.writer.finalSize(job);
+      const more = this.input.finals.finalSize(job);
       if (job.finishAlone || size + more > this.input.store.batchOps) send();
       batch.push({ job, state: job.cancelled ? 'cancelled' : 'done' });
       size += more;
--- /dev/null
+++ b/src/placement/run-writer.ts
@@ -0,0 +1,188 @@
+import { TXN_BYTES, VALUE_FILL, WRITE_FRAME_BYTES } from '../constants.js';
+import { log } from '../log.js';
+import type { Store, Write } from '../store/client.js';
+import { jobKey, runKey, runPartKey } from '../store/keys.js';
+import type { Rank } from '../store/rate-limiter.js';
+import type { ClaimTransactions } from './claim-transactions.js';
+import {
+  durableKeys,
+  prepared,
+  runRecord,
+  storeRun,
+  validating,
+  type RunRecord,
+  type StoredRun,
+} from './records.js';
+import type { Chunk, ShareJob } from './state.js';
+
+/** What the writer of runs needs of its share. */
+export interface RunWriterInput {
+  readonly transactions: ClaimTransactions;
+  readonly store: Store;
+  readonly slot: number;
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
+  /** Every node reads runs that are parted. */
+  readonly maySplit: () => boolean;
+}
+
+/** One run of a job's tasks, as it is to be written now. */
+export interface RunWrite {
+  readonly job: ShareJob;
+  readonly chunk: number;
+  readonly record: RunRecord;
+  readonly stored: StoredRun;
+}
+
+/** Guess of a run record's size on the wire: a binding is an index, a machine's name and an attempt. */
+export const sizeOf = (record: RunRecord): number => 120 + record.bindings.length * 40;
+
+/** bytes on the wire, as the protocol measures them, of a run with its parts, its keys and its condition. */
+const storedBytes = (stored: StoredRun): number =>
+  [stored.record, ...stored.parts].reduce<number>(
+    (sum, value) => sum + JSON.stringify(value).length + WRITE_FRAME_BYTES,
+    0,
+  );
+
+/** Writes the runs of a share's jobs: which task is bound to which machine, and which are done. */
+export class RunWriter {
+  constructor(private readonly input: RunWriterInput) {}
+
+  runWrite(job: ShareJob, chunk: number): RunWrite {
+    const record = runRecord(job, chunk);
+    const bytes = this.input.valueBytes * VALUE_FILL;
+    const stored = storeRun(record, chunk, bytes, this.input.maySplit());
+    const keeps = chunk === 0 && job.validAttempt > 0;
+    return { job, chunk, record, stored: keeps ? validating(stored, job.validAttempt) : stored };
+  }
+
+  private changesOf(write: RunWrite): number {
+    return 1 + Math.max(write.stored.parts.length, write.job.chunks.get(write.chunk)?.parts ?? 0);
+  }
+
+  /** Runs in as few transactions as they fit in; each batch is whole. */
+  batches<T extends { readonly write: RunWrite }>(entries: readonly T[]): readonly (readonly T[])[] {
+    const batches: T[][] = [];
+    let batch: T[] = [];
+    let bytes = 0;
+    let changes = 0;
+    for (const entry of entries) {
+      const size = sizeOf(entry.write.record);
+      const more = this.changesOf(entry.write);
+      if (batch.length > 0 && (changes + more > this.input.store.batchOps || bytes + size > TXN_BYTES / 2)) {
+        batches.push(batch);
+        batch = [];
+        bytes = 0;
+        changes = 0;
+      }
+      batch.push(entry);
+      bytes += size;
+      changes += more;
+    }
+    if (batch.length > 0) batches.push(batch);
+    return batches;
+  }
+
+  /** Writes runs in one transaction; while it is under way nothing else writes runs of these jobs. */
+  async commitRuns(writes: readonly RunWrite[], rank: Rank): Promise<boolean> {
+    const first = writes[0];
+    if (!first) return true;
+    const key = (write: RunWrite): string => runKey(this.input.slot, write.job.spec.id, write.chunk);
+    const jobs = new Set(writes.map((write) => write.job));
+    const chunks = writes.map((write): Chunk => {
+      const known = write.job.chunks.get(write.chunk);
+      if (known) {
+        known.dirtyFrom = null;
+        return known;
+      }
+      const fresh: Chunk = { version: 0, parts: 0, durable: new Set(), dirtyFrom: null };
+      write.job.chunks.set(write.chunk, fresh);
+      return fresh;
+    });
+    for (const job of jobs) job.writing += 1;
+    const result = await this.input.transactions.commit(
+      [
+        ...[...jobs].map((job) => ({ key: jobKey(job.spec.id), version: job.version })),
+        ...writes.map((write, index) => ({ key: key(write), version: chunks[index]?.version ?? 0 })),
+      ],
+      writes.flatMap((write, index) => this.changes(write, chunks[index]?.parts ?? 0)),
+      key(first),
+      rank,
+    );
+    for (const job of jobs) job.writing -= 1;
+    const committed = result._tag === 'committed';
+    writes.forEach((write, index) => {
+      const chunk = chunks[index];
+      if (!chunk) return;
+      if (committed) {
+        chunk.version = result.revision;
+        chunk.parts = write.stored.parts.length;
+        chunk.durable = durableKeys(write.job.spec.id, write.record);
+      } else chunk.dirtyFrom ??= 0;
+    });
+    if (result._tag === 'conflict') log.debug({ event: 'bind.conflict', failed: result.failed });
+    return committed;
+  }
+
+  private fitOneTransaction(writes: readonly RunWrite[]): boolean {
+    let changes = 0;
+    let bytes = 0;
+    for (const write of writes) {
+      changes += this.changesOf(write);
+      bytes += storedBytes(write.stored);
+    }
+    return changes <= this.input.store.txnOps && bytes <= TXN_BYTES;
+  }
+
+  /** Binds a gang: in one transaction, or, where that can't hold it, by one that makes valid what was prepared. */
+  async commitGang(job: ShareJob, writes: readonly RunWrite[], rank: Rank): Promise<boolean> {
+    const [first, ...others] = writes;
+    if (!first || first.chunk !== 0 || this.fitOneTransaction(writes)) return this.commitRuns(writes, rank);
+    // No transaction holds it, and what is prepared an earlier version would take for bound: it waits for the upgrade.
+    if (!this.input.maySplit()) return false;
+    // Nothing else writes its runs in between.
+    job.writing += 1;
+    try {
+      const entries = others.map((write) => ({ write: { ...write, stored: prepared(write.stored) } }));
+      for (const batch of this.batches(entries)) {
+        const ready = await this.commitRuns(
+          batch.map((entry) => entry.write),
+          rank,
+        );
+        if (!ready) return this.unprepared(job);
+      }
+      const before = job.validAttempt;
+      job.validAttempt = job.attempt;
+      const bound = await this.commitRuns(
+        [{ ...first, stored: validating(first.stored, job.attempt) }],
+        rank,
+      );
+      if (bound) return true;
+      job.validAttempt = before;
+      return this.unprepared(job);
+    } finally {
+      job.writing -= 1;
+    }
+  }
+
+  /** What was prepared and is not valid is written over. */
+  private unprepared(job: ShareJob): false {
+    for (const chunk of job.chunks.values()) chunk.dirtyFrom ??= 0;
+    return false;
+  }
+
+  /** A run's record with its parts, and parts of the last one that are no more. All change together, so the record's
+   *  revision guards them. */
+  private changes(write: RunWrite, before: number): readonly Write[] {
+    const { job, chunk, stored } = write;
+    const partKey = (part: number): string => runPartKey(this.input.slot, job.spec.id, chunk, part);
+    return [
+      { _tag: 'put', key: runKey(this.input.slot, job.spec.id, chunk), value: stored.record },
+      ...stored.parts.map((value, part): Write => ({ _tag: 'put', key: partKey(part), value })),
+      ...Array.from({ length: Math.max(0, before - stored.parts.length) }, (_, k): Write => ({
+        _tag: 'delete',
+        key: partKey(stored.parts.length + k),
+      })),
+    ];
+  }
+}
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -13,6 +13,9 @@
 import type { Readiness, Standing } from '../pipelines/graph.js';
 import { placementRequests, availableCapacity, teamUsage, type ViewInput } from './placement-view.js';
 import { Binder } from './binder.js';
+import { ClaimTransactions } from './claim-transactions.js';
+import { FinalRecordWriter } from './final-record-writer.js';
+import { MachineRecordWriter } from './machine-record-writer.js';
 import { MachineLifecycle } from './machine-lifecycle.js';
 import { MarkedRemoval, UnmarkedRemoval, type LeftOverKeys } from './left-over-keys.js';
 import { Preemptor } from './preemptor.js';
@@ -27,7 +30,7 @@
 import { bindingKey } from './state.js';
 import { onMachine } from './task.js';
 import type { Objectives } from './urgency.js';
-import { Writer } from './writer.js';
+import { RunWriter } from './run-writer.js';
 
 /** What a share needs of the rest of the controller. */
 export interface ShareInput {
@@ -89,7 +92,6 @@
   private readonly shareState: ShareState;
   private readonly liveness: MachineLiveness;
   private readonly sessions: WorkerSessions;
-  private readonly writer: Writer;
   private readonly lifecycle: MachineLifecycle;
   private readonly leftOver: LeftOverKeys;
   private readonly flusher: RecordFlusher;
@@ -129,18 +131,18 @@
       poke,
       direct: input.direct,
     });
-    this.writer = new Writer({
+    const transactions = new ClaimTransactions({
       store: input.store,
       slot,
       claim,
-      wall: input.wall,
-      valueBytes: input.valueBytes,
-      maySplit: input.maySplit,
       lost: () => this.lose(),
       isLost: () => this.stage === 'lost',
     });
-    const { store, now, wall } = input;
-    const { shareState, liveness, sessions, writer } = this;
+    const { store, valueBytes, maySplit, now, wall } = input;
+    const { shareState, liveness, sessions } = this;
+    const runs = new RunWriter({ transactions, store, slot, valueBytes, maySplit });
+    const finals = new FinalRecordWriter({ transactions, store, slot, wall });
+    const records = new MachineRecordWriter({ transactions, claim, valueBytes });
     const lost = (): boolean => this.stage === 'lost';
     this.lifecycle = new MachineLifecycle({
       slot,
@@ -148,7 +150,7 @@
       shareState,
       liveness,
       sessions,
-      writer,
+      records,
       now,
       placing: () => this.stage === 'placing',
       lost,
@@ -157,7 +159,7 @@
     const { cleanUp } = input;
     this.leftOver =
       cleanUp === null
-        ? new UnmarkedRemoval(store, writer)
+        ? new UnmarkedRemoval(store, transactions)
         : new MarkedRemoval({
             store,
             slot,
@@ -169,14 +171,15 @@
     this.flusher = new RecordFlusher({
       store,
       shareState,
-      writer,
+      runs,
+      finals,
       leftOver: this.leftOver,
       now,
       lost,
       poke,
       settled: input.settled,
     });
-    this.binder = new Binder({ shareState, writer, sessions, lost, poke });
+    this.binder = new Binder({ shareState, runs, sessions, lost, poke });
     this.preemptor = new Preemptor({ slot, shareState, now, wall, spareElsewhere: input.spareElsewhere });
     this.summaryBuilder = new ShareSummary({
       slot,
--- a/src/service.ts
+++ b/src/service.ts
@@ -8,17 +8,16 @@
 import { outageGrace } from './claims/outage.js';
 import {
   HEARTBEAT_FRESH_MS,
-  CLOUD_TIMEOUT_MS,
   PROTOCOL_VERSION,
   PROTOCOL_ACKNOWLEDGES_CANCELLATIONS,
   PROTOCOL_FENCED_ORDERS,
   PROTOCOL_PIPELINES,
-  RELEASE_MAX,
 } from './constants.js';
 import { Cloud } from './fleet/cloud.js';
 import { CatalogView } from './fleet/catalog-view.js';
 import { DutiesApi } from './duties/admin-api.js';
 import { composeDuties } from './duties/compose.js';
+import { returnUrgently } from './duties/urgent-return.js';
 import { BootBoundTypes } from './fleet/boot-bound-types.js';
 import { ScarceTypes } from './fleet/scarce-types.js';
 import { Leader } from './fleet/leader.js';
@@ -33,7 +32,7 @@
 import { StoreRelay } from './peers/store-relay.js';
 import { ProtocolVersion } from './peers/protocol-version.js';
 import { PeerNetwork } from './peers/network.js';
-import { PeerRequests, type MoveOrder, type ReturnOrder } from './peers/peer-requests.js';
+import { PeerRequests, type MoveOrder } from './peers/peer-requests.js';
 import { shareRates } from './peers/rate-sharing.js';
 import { unpackIds } from './pipelines/codec.js';
 import { Finals } from './pipelines/finals.js';
@@ -340,20 +339,19 @@
       leases.entitled(String(slot)) === claim
         ? line.send(addr, token, session, commands)
         : Promise.resolve({ _tag: 'refused', report: null }),
-    returnNow: async (machines) => {
-      const some = machines.slice(0, RELEASE_MAX);
-      if (some.length < machines.length || leases.entitled(String(slot)) !== claim) return false;
-      // Where the state service answers, the record is the way: it tells a later leader too.
-      if (stateAge() < HEARTBEAT_FRESH_MS) return false;
-      const to = leaderNode();
-      if (to === undefined) return false;
-      if (to === me.node) return leader.returnNow(some);
-      const order: ReturnOrder = { machines: some, share: slot, token: claim };
-      const answer = (await peerNetwork.ask(to, '/return', order, CLOUD_TIMEOUT_MS)) as {
-        returned?: boolean;
-      } | null;
-      return answer?.returned === true;
-    },
+    returnNow: (machines) =>
+      returnUrgently(
+        {
+          share: slot,
+          duty: registry.share(slot, 'reclaim'),
+          me: me.node,
+          leaderNode,
+          stateAge,
+          returnHere: (own) => leader.returnNow(own),
+          ask: (node, path, body, timeoutMs) => peerNetwork.ask(node, path, body, timeoutMs),
+        },
+        machines,
+      ),
     cleanUp: features.fencing ? registry.share(slot, 'clean-up') : null,
     loaded: () => registry.shareLoaded(slot, claim),
     settled: (job, final) => pipelines.settle(job, final),
--- a/src/testing/cloud-stand-in.ts
+++ b/src/testing/cloud-stand-in.ts
@@ -30,7 +30,8 @@
   readonly howMany: number;
 }
 
-const CATALOG = {
+/** One type of machine, in one zone. */
+export const CATALOG = {
   breeds: [
     {
       sku: 'g',
--- a/src/testing/duties.ts
+++ b/src/testing/duties.ts
@@ -2,14 +2,18 @@
 import { LEADER } from '../claims/decide.js';
 import { DutyRegistry } from '../duties/registry.js';
 
-/** The duties of a leader that never loses its claim, held under this revision. */
-export const leaderDuties = (revision: number, wall: () => number): DutyRegistry => {
+/** The duties of a leader that never loses its claim, held under this revision; its lease may be in doubt for a while. */
+export const leaderDuties = (
+  revision: number,
+  wall: () => number,
+  mayAct: () => boolean = () => true,
+): DutyRegistry => {
   const registry = new DutyRegistry({
     leases: {
       slots: [LEADER],
       claim: () => ({ node: 'n0', incarnation: '1', version: revision }),
       mine: () => revision,
-      entitled: () => revision,
+      entitled: () => (mayAct() ? revision : null),
     },
     wall,
     enforce: true,
--- a/src/testing/leader-scenario.ts
+++ b/src/testing/leader-scenario.ts
@@ -1,42 +1,38 @@
 import type { DutyView } from '../duties/admin-api.js';
+import { RENTALS_KEY } from '../store/keys.js';
+import { submission } from './bodies.js';
 import { findLateActions, type LateAction, type Tenure } from './late-actions.js';
 import { Loopback, type LoopbackOptions } from './loopback.js';
 
 /** ms: see {@link LeaderScenario.aftermath}. */
 const AFTERMATH_MS = 2_500;
 
-const submission = (n: number): object => ({
-  uid: `job-${String(n).padStart(6, '0')}`,
-  herd: 'c',
-  owner: 't',
-  shape: 'group',
-  urgency: 'standard',
-  heads: 1,
-  vcpus: 57,
-  accelerators: 8,
-  memoryGb: 300,
-  brand: 'img-1',
-  sizeGb: 1,
-  breeds: null,
-  paddock: null,
-  together: false,
-  scatter: false,
-  agistment: false,
-  expectedS: 60,
-  musterEveryS: 0,
-  musterS: 0,
-  dueS: null,
-});
+/** A gang of one task that takes a whole machine. */
+const wholeMachineJob = (n: number): object =>
+  submission({
+    uid: `job-${String(n).padStart(6, '0')}`,
+    owner: 't',
+    shape: 'group',
+    heads: 1,
+    vcpus: 57,
+    accelerators: 8,
+    memoryGb: 300,
+    agistment: false,
+    expectedS: 60,
+  });
 
 /** A deployment with the history of its leaders and of the machines whose release was asked for. */
 export class LeaderScenario {
   readonly tenures: Tenure[] = [];
+  /** Writes of the book of rental requests. */
+  intentWrites = 0;
   private readonly releaseAskedAt = new Map<string, number>();
 
   private constructor(readonly deployment: Loopback) {
     deployment.state.onPut = (key, value, version) => {
       const at = performance.now();
       if (key === 'w/c/L') this.tenures.push({ node: (value as { n: string }).n, token: version, from: at });
+      if (key === RENTALS_KEY) this.intentWrites += 1;
       if (key.startsWith('w/m/') && (value as { r: boolean }).r) this.releaseAskedAt.set(key.slice(4), at);
     };
   }
@@ -57,7 +53,7 @@
   async submit(n: number): Promise<void> {
     await this.deployment.until('a job to be accepted', async () => {
       for (const node of Loopback.nodes) {
-        const answer = await this.deployment.ask(node, 'POST', '/v2/runs', submission(n));
+        const answer = await this.deployment.ask(node, 'POST', '/v2/runs', wholeMachineJob(n));
         if (answer._tag === 'answer' && answer.status < 300) return true;
       }
       return false;
--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -10,6 +10,7 @@
 import { join } from 'node:path';
 import { BODY_MAX_BYTES } from '../constants.js';
 import { Client, decode, encode, parseTarget, serve, type Call, type Reply } from '../http.js';
+import { CATALOG } from './cloud-stand-in.js';
 import { StateStandIn } from './state-stand-in.js';
 
 const [machinesText, secondsText, nodesText, ...flags] = process.argv.slice(2);
@@ -151,26 +152,7 @@
 
 const cloud = (call: Call): Reply => {
   count(`cloud ${call.path}`);
-  if (call.path === '/catalog')
-    return {
-      status: 200,
-      body: {
-        breeds: [
-          {
-            sku: 'g',
-            vcpus: 64,
-            accelerators: 8,
-            memoryGb: 384,
-            localGb: 80,
-            pullGbPerS: 1,
-            hourly: 8,
-            marketPrice: 2,
-            readyS: 40,
-            paddocks: ['x'],
-          },
-        ],
-      },
-    };
+  if (call.path === '/catalog') return { status: 200, body: CATALOG };
   if (call.path === '/machines' && call.method === 'GET')
     return {
       status: 200,
