--- a/src/cli/cli.test.ts
+++ b/src/cli/cli.test.ts
@@ -119,6 +119,16 @@
   });
 }
 
+test('command line: a bad network stops the start, with line, value and reason', async () => {
+  const settings = join(directory, 'settings.json');
+  const networks = join(directory, 'networks.toml');
+  writeFileSync(settings, JSON.stringify(SETTINGS));
+  writeFileSync(networks, 'admin = [\n  "10.0.0.0/40",\n]\n');
+  const { code, err } = await run(['--config', settings, '--networks', networks]);
+  assert.equal(code, 2);
+  assert.equal(err, 'networks: line 2: "10.0.0.0/40" is not a network in CIDR form\n');
+});
+
 test('command line: an unknown feature stops the start, with its name and those that exist', async () => {
   const settings = join(directory, 'settings.json');
   writeFileSync(settings, JSON.stringify(SETTINGS));
--- a/src/cli/duties.ts
+++ b/src/cli/duties.ts
@@ -43,6 +43,10 @@
     .join('\n');
 };
 
+/** A table, or a line in its place where it has only a head. */
+const tableOr = (rows: readonly (readonly string[])[], empty: string): string =>
+  rows.length > 1 ? table(rows) : empty;
+
 const time = (ms: number | null): string => (ms === null ? '' : new Date(ms).toISOString());
 
 const dutyRows = (duties: readonly DutyView[]): readonly (readonly string[])[] => [
@@ -137,8 +141,8 @@
   const view = JSON.parse(answer.text) as Partial<DutiesView> & Pick<DutiesView, 'duties'>;
   const parts = [
     table(dutyRows(view.duties)),
-    table(historyRows(view.duties)),
-    table(refusalRows(view.duties)),
+    tableOr(historyRows(view.duties), 'no earlier holders seen'),
+    tableOr(refusalRows(view.duties), 'nothing refused'),
   ];
   process.stdout.write(`${[...parts, ...intentLines(view)].join('\n\n')}\n`);
   return EXIT_OK;
--- a/src/duties/admin-api.ts
+++ b/src/duties/admin-api.ts
@@ -9,12 +9,14 @@
   type RentalBook,
 } from '@dalegate/fencing';
 import type { Call, Reply } from '../http.js';
+import type { AdminAccess } from '../settings/networks.js';
 import type { DutyRegistry } from './registry.js';
 
 /** What the endpoint needs of its controller. */
 export interface DutiesApiInput {
   readonly node: string;
   readonly registry: DutyRegistry;
+  readonly access: AdminAccess;
   /** This node has read the claims. */
   readonly ready: () => boolean;
   readonly releaseIntents: () => readonly ReleaseIntentView[];
@@ -66,6 +68,8 @@
   constructor(private readonly input: DutiesApiInput) {}
 
   async handle(call: Call, path: readonly string[]): Promise<Reply> {
+    if (!this.input.access.allows(call.remoteAddress))
+      return json(403, { error: 'the administration API is not open to this address' });
     if (call.method !== 'GET') return { ...json(405, { error: 'read only' }), headers: { allow: 'GET' } };
     if (!this.input.ready()) return json(503, { error: 'this controller has not read the claims yet' });
     const [name, ...rest] = path;
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -83,6 +83,9 @@
   failed: 'failed',
 };
 
+/** As the cloud itself would answer: not carried out. */
+const OVER_RATE: Answer = { _tag: 'answer', status: 429, body: null };
+
 /** Client for the cloud's interface, within this node's part of its rate. */
 export class Cloud {
   private readonly client: Caller;
@@ -93,15 +96,19 @@
     this.budget = new RateLimiter(rps * (nodes > 1 ? 0.8 : 1), 0, CLOUD_TIMEOUT_MS, now);
   }
 
-  private async call(method: string, path: string, body: unknown, permit?: Permit): Promise<Answer> {
-    if (!(await this.budget.take(1, 'user'))) return { _tag: 'answer', status: 429, body: null };
-    return permit
-      ? this.client.request(method, path, body, CLOUD_TIMEOUT_MS, permit.mayProceed)
-      : this.client.request(method, path, body, CLOUD_TIMEOUT_MS);
+  private async read(path: string): Promise<Answer> {
+    if (!(await this.budget.take(1, 'user'))) return OVER_RATE;
+    return this.client.request('GET', path, undefined, CLOUD_TIMEOUT_MS);
+  }
+
+  /** A call with an effect: the right to make it is asked for again as its bytes leave. */
+  private async act(path: string, body: unknown, { mayProceed }: Permit): Promise<Answer> {
+    if (!(await this.budget.take(1, 'user'))) return OVER_RATE;
+    return this.client.request('POST', path, body, CLOUD_TIMEOUT_MS, mayProceed);
   }
 
   readonly catalog: Effect.Effect<CatalogResult> = Effect.promise(async (): Promise<CatalogResult> => {
-    const answer = await this.call('GET', '/catalog', undefined);
+    const answer = await this.read('/catalog');
     if (answer._tag === 'silence') return { _tag: 'failed', why: answer.why };
     if (answer.status !== 200) return { _tag: 'failed', why: `status ${answer.status}` };
     return { _tag: 'types', types: readTypes((answer.body as { breeds: RawType[] }).breeds) };
@@ -116,7 +123,7 @@
         agistment: request.spot,
         howMany: request.count,
       };
-      const answer = await this.call('POST', '/machines', body, permit);
+      const answer = await this.act('/machines', body, permit);
       return readRental(answer);
     });
   }
@@ -124,17 +131,15 @@
   /** True: by the time of the answer these machines and all on them are gone. */
   release(ids: readonly string[], permit: Permit): Effect.Effect<boolean> {
     return Effect.promise(async () => {
-      const answer = await this.call('POST', '/machines/release', { drovers: ids }, permit);
+      const answer = await this.act('/machines/release', { drovers: ids }, permit);
       return answer._tag === 'answer' && answer.status === 200;
     });
   }
 
   page(after: string | null): Effect.Effect<MachinesResult> {
     return Effect.promise(async (): Promise<MachinesResult> => {
-      const answer = await this.call(
-        'GET',
+      const answer = await this.read(
         `/machines?most=500${after === null ? '' : `&since=${encodeURIComponent(after)}`}`,
-        undefined,
       );
       if (answer._tag === 'silence') return { _tag: 'failed', why: answer.why };
       if (answer.status !== 200) return { _tag: 'failed', why: `status ${answer.status}` };
--- a/src/http.ts
+++ b/src/http.ts
@@ -182,6 +182,8 @@
   /** What follows the question mark, as it came. */
   readonly query: string;
   readonly body: Body;
+  /** The caller's IP address, where it came through a socket. */
+  readonly remoteAddress?: string | undefined;
 }
 
 /** The protocol measures sizes in the JSON form; MessagePack is never longer than that for our data. */
@@ -248,6 +250,7 @@
         path: mark < 0 ? url : url.slice(0, mark),
         query: mark < 0 ? '' : url.slice(mark + 1),
         body: readBody(parts, size, limit),
+        remoteAddress: req.socket.remoteAddress,
       }).then(send, (error: unknown) => {
         failed(error);
         send({ status: 503 });
--- a/src/service.ts
+++ b/src/service.ts
@@ -42,6 +42,7 @@
 import { Share, type ShareInput } from './placement/share.js';
 import type { Settings } from './settings/schema.js';
 import { NO_FEATURES, type Features } from './settings/features.js';
+import { ANYONE, type AdminAccess } from './settings/networks.js';
 import { lasting } from './settings/limits.js';
 import { divideTeams, nodeNames } from './settings/teams.js';
 import { Store } from './store/client.js';
@@ -77,7 +78,12 @@
 }
 
 /** Composes the slices of one controller. */
-export const compose = (settings: Settings, ports: Ports, features: Features = NO_FEATURES): Controller => {
+export const compose = (
+  settings: Settings,
+  ports: Ports,
+  features: Features = NO_FEATURES,
+  adminAccess: AdminAccess = ANYONE,
+): Controller => {
   const { now, wall, workerClient: line, callers } = ports;
   const me = { node: settings.host_name, incarnation: ports.incarnation };
   const { facts } = settings;
@@ -462,6 +468,7 @@
   const duties = new DutiesApi({
     node: me.node,
     registry,
+    access: adminAccess,
     ready: () => cache.ready,
     releaseIntents: () => leader.releaseIntents,
     rentals: readRentals,
--- a/src/start.ts
+++ b/src/start.ts
@@ -9,6 +9,7 @@
 import { Client, parseTarget, serve } from './http.js';
 import { log } from './log.js';
 import type { Features } from './settings/features.js';
+import type { AdminAccess } from './settings/networks.js';
 import { compose, type Ports } from './service.js';
 import type { Settings } from './settings/schema.js';
 import { WorkerClient } from './workers/worker-client.js';
@@ -16,7 +17,11 @@
 const MICROSECONDS_PER_MS = 1_000;
 
 /** Runs one controller as this process. */
-export const start = async (settings: Settings, features: Features): Promise<void> => {
+export const start = async (
+  settings: Settings,
+  features: Features,
+  adminAccess: AdminAccess,
+): Promise<void> => {
   const ports: Ports = {
     now: () => performance.now(),
     wall: () => Date.now(),
@@ -28,7 +33,7 @@
     callers: (target, sockets) => new Client(target, sockets),
     workerClient: new WorkerClient(Math.floor(settings.facts.quota.fd_limit * WORKER_CLIENT_SOCKET_SHARE)),
   };
-  const controller = compose(settings, ports, features);
+  const controller = compose(settings, ports, features, adminAccess);
   const failed = (error: unknown): void => log.error({ event: 'request.failed', error: String(error) });
   const connections = Math.floor(settings.facts.quota.fd_limit * INCOMING_SOCKET_SHARE);
   await serve(
--- a/src/store/clients.test.ts
+++ b/src/store/clients.test.ts
@@ -93,6 +93,23 @@
   });
 }
 
+test('cloud: what a duty must cover neither compiles nor runs without its permit', async () => {
+  let requests = 0;
+  const counting: Callers = () => ({
+    request: () => {
+      requests += 1;
+      return Promise.resolve(silence);
+    },
+  });
+  const cloud = new Cloud(at, 10, 1, () => 0, counting);
+  const request = { name: 'r', type: 'g', zone: 'a', spot: false, count: 2 };
+  // @ts-expect-error a rental without a permit
+  await assert.rejects(Effect.runPromise(cloud.rent(request)));
+  // @ts-expect-error a release without a permit
+  await assert.rejects(Effect.runPromise(cloud.release(['i-1'])));
+  assert.equal(requests, 0);
+});
+
 test('cache: an older change never undoes a newer one', () => {
   const cache = new WatchCache(store(silence));
   const seen: string[] = [];
