Books of intents and removals keep within the largest value, also after it shrinks to 2 KiB

Cause: the book of rental requests kept 24 outcomes whatever a value holds; under a limit of 2 KiB its writes would be refused, and nothing rented. Marks for removal had no bound at all, and were tried before what was due. Found by reading. Change: old outcomes make way, requests that do not fit wait, what is due for removal goes first.

--- a/packages/fencing/src/index.ts
+++ b/packages/fencing/src/index.ts
@@ -9,4 +9,5 @@
 export * from './remover.js';
 export * from './rental-intent.js';
 export * from './rental-journal.js';
+export * from './stored-size.js';
 export * from './token.js';
--- a/packages/fencing/src/removal.ts
+++ b/packages/fencing/src/removal.ts
@@ -3,6 +3,7 @@
  * whoever marks it; a later pass looks again whether it is still left over, and removes it only at that very revision. What
  * was removed, by whom and why stays readable for a while.
  */
+import { newestThatFit, storedBytes } from './stored-size.js';
 import { parseToken, type FencingToken } from './token.js';
 
 /** ms between the mark and the removal: longer than a change of holder, so that a successor looks again too. */
@@ -129,16 +130,15 @@
   };
 };
 
-/** Writes a book as it is stored. */
-export const writeRemovals = (book: RemovalBook): unknown => ({
-  m: book.marked.map(({ key, revision, reason, token, at }): StoredMarked => ({
+const storeRemovals = (marked: readonly MarkedKey[], removed: readonly RemovedKey[]): unknown => ({
+  m: marked.map(({ key, revision, reason, token, at }): StoredMarked => ({
     k: key,
     v: revision,
     r: REASONS.indexOf(reason),
     t: token,
     a: at,
   })),
-  d: book.removed.map(({ key, reason, markedUnder, removedUnder, at }): StoredRemoved => ({
+  d: removed.map(({ key, reason, markedUnder, removedUnder, at }): StoredRemoved => ({
     k: key,
     r: REASONS.indexOf(reason),
     t: markedUnder,
@@ -146,3 +146,21 @@
     a: at,
   })),
 });
+
+/** Writes a book as it is stored, with as many past removals as it has room for. */
+export const writeRemovals = (book: RemovalBook, maxBytes: number): unknown => {
+  const store = (removed: readonly RemovedKey[]): unknown => storeRemovals(book.marked, removed);
+  return store(newestThatFit(book.removed, maxBytes, store));
+};
+
+/** How many of these keys there is room to mark. */
+export const roomToMark = (
+  book: RemovalBook,
+  keys: readonly MarkedKey[],
+  maxBytes: number,
+): readonly MarkedKey[] => {
+  let fit = keys;
+  while (fit.length > 0 && storedBytes(storeRemovals([...book.marked, ...fit], [])) > maxBytes)
+    fit = fit.slice(0, -1);
+  return fit;
+};
--- a/packages/fencing/src/remover.test.ts
+++ b/packages/fencing/src/remover.test.ts
@@ -3,6 +3,7 @@
 import type { Permit } from './duty.js';
 import { readRemovals, REMOVAL_DELAY_MS } from './removal.js';
 import { Remover, type LeftOver } from './remover.js';
+import { storedBytes } from './stored-size.js';
 import { MemoryValue } from './testing/memory-value.js';
 import { tokenOf, type FencingToken } from './token.js';
 
@@ -13,7 +14,7 @@
   const value = new MemoryValue(tokenOf(5));
   value.others.set(KEY, 40);
   const world = { now: 0, used: false, removed: [] as string[] };
-  const remover = (token: FencingToken): Remover =>
+  const remover = (token: FencingToken, maxBytes = 16 * 1024): Remover =>
     new Remover({
       value,
       begin: (): Permit => ({
@@ -29,6 +30,7 @@
       },
       inUse: () => world.used,
       batch: () => 8,
+      maxBytes,
       timeOfDay: () => world.now,
       removed: (keys) => world.removed.push(...keys.map(({ key }) => key)),
     });
@@ -128,3 +130,22 @@
   assert.deepEqual(book.removed, []);
   assert.deepEqual(readRemovals('x').marked, []);
 });
+
+test('removal: more left-over keys than one value can mark are removed in turns', async () => {
+  // Guards against a book that outgrew a value: marks were tried for ever, and what was due was never removed.
+  const { value, world, remover } = setUp();
+  const keys = Array.from({ length: 60 }, (_, n) => `r/0/job-${n}/1`);
+  for (const key of keys) value.others.set(key, 40);
+  const small = remover(tokenOf(5), 700);
+  small.discard(keys.map((key) => ({ key, revision: 40, reason: 'job over' })));
+  for (let round = 0; round < 30; round += 1) {
+    await steps(small);
+    assert.ok(storedBytes(value.entry.value) <= 700);
+    world.now += REMOVAL_DELAY_MS;
+  }
+  assert.deepEqual(
+    keys.filter((key) => value.others.has(key)),
+    [],
+  );
+  assert.equal(small.due, false);
+});
--- a/packages/fencing/src/remover.ts
+++ b/packages/fencing/src/remover.ts
@@ -3,6 +3,8 @@
   dueForRemoval,
   EMPTY_REMOVALS,
   readRemovals,
+  REMOVAL_DELAY_MS,
+  roomToMark,
   withMarked,
   withRemoved,
   withUnmarked,
@@ -37,6 +39,8 @@
   readonly inUse: (key: string) => boolean;
   /** Keys that one transaction may remove at the present rate. */
   readonly batch: () => number;
+  /** bytes: the largest value that may be stored. */
+  readonly maxBytes: number;
   /** ms since the epoch. */
   readonly timeOfDay: () => number;
   readonly removed: (keys: readonly MarkedKey[]) => void;
@@ -48,6 +52,8 @@
   private revision = 0;
   private loaded = false;
   private readonly found: LeftOver[] = [];
+  /** ms since the epoch: until then there is no room for more marks. */
+  private fullUntil = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly input: RemoverInput) {}
 
@@ -58,8 +64,13 @@
 
   /** Is there anything to do now? */
   get due(): boolean {
-    if (this.found.length > 0 || !this.loaded) return true;
-    return dueForRemoval(this.book, this.input.timeOfDay(), 1).length > 0;
+    if (!this.loaded) return true;
+    if (this.found.length > 0 && this.input.timeOfDay() >= this.fullUntil) return true;
+    return this.removalsDue().length > 0;
+  }
+
+  private removalsDue(): readonly MarkedKey[] {
+    return dueForRemoval(this.book, this.input.timeOfDay(), this.input.batch());
   }
 
   /** One step: reads the book, marks a batch or removes one. */
@@ -68,8 +79,9 @@
     if (permit === null) return;
     try {
       if (!this.loaded) await this.load();
+      // What is due goes first: it makes room for more marks.
+      else if (this.removalsDue().length > 0) await this.removeDue(permit.token);
       else if (this.found.length > 0) await this.mark(permit.token);
-      else await this.removeDue(permit.token);
     } finally {
       permit.end();
     }
@@ -98,9 +110,11 @@
           at: this.input.timeOfDay(),
         });
     }
-    if (marked.length === 0) return;
-    const written = await this.write(withMarked(this.book, marked), [], token);
-    if (!written) this.found.push(...batch.filter(({ key }) => marked.some((entry) => entry.key === key)));
+    const fit = roomToMark(this.book, marked, this.input.maxBytes);
+    if (fit.length < marked.length) this.fullUntil = this.input.timeOfDay() + REMOVAL_DELAY_MS;
+    const written = fit.length > 0 && (await this.write(withMarked(this.book, fit), [], token));
+    const waiting = written ? marked.slice(fit.length) : marked;
+    this.found.push(...waiting.map(({ key, revision, reason }) => ({ key, revision, reason })));
   }
 
   /** 0: it is gone already; null: it could not be read. */
@@ -113,8 +127,7 @@
 
   private async removeDue(token: FencingToken): Promise<void> {
     const now = this.input.timeOfDay();
-    const due = dueForRemoval(this.book, now, this.input.batch());
-    if (due.length === 0) return;
+    const due = this.removalsDue();
     const again = new Set(due.filter(({ key }) => this.input.inUse(key)).map(({ key }) => key));
     const gone = due.filter(({ key }) => !again.has(key));
     const next = withRemoved(withUnmarked(this.book, again), gone, token, now);
@@ -124,7 +137,7 @@
   /** True: written. Else it is tried again later, by whoever holds the duty then. */
   private async write(next: RemovalBook, gone: readonly MarkedKey[], token: FencingToken): Promise<boolean> {
     const outcome = await this.input.value.write(
-      writeRemovals(next),
+      writeRemovals(next, this.input.maxBytes),
       this.revision,
       token,
       gone.map(({ key, revision }) => ({ key, revision })),
--- a/packages/fencing/src/rental-intent.ts
+++ b/packages/fencing/src/rental-intent.ts
@@ -3,6 +3,7 @@
  * gets the first one's answer and rents nothing. So a request is named in the state service before it is sent, and
  * whoever holds the duty next repeats it under the same name. From then on a late copy of it changes nothing.
  */
+import { newestThatFit, storedBytes } from './stored-size.js';
 import { parseToken, type FencingToken } from './token.js';
 
 /** ms: a request older than this answers a need of the past. It is not repeated; should it still be carried out, its
@@ -135,25 +136,33 @@
 const keptMalformed = (malformed: readonly unknown[]): readonly unknown[] =>
   JSON.stringify(malformed).length <= MALFORMED_MAX_BYTES ? malformed : [];
 
-/** Writes a book as it is stored. */
-export const writeBook = (book: RentalBook, token: FencingToken): unknown => {
-  const malformed = keptMalformed(book.malformed);
-  return {
-    t: token,
-    o: book.open.map(({ name, machineType, zone, spot, shares, at }): StoredIntent => ({
-      n: name,
-      b: machineType,
-      z: zone,
-      p: spot,
-      s: [...shares],
-      a: at,
-    })),
-    d: book.settled.map(({ name, outcome, machines, at }): StoredSettled => ({
-      n: name,
-      o: outcome,
-      m: machines,
-      a: at,
-    })),
-    ...(malformed.length > 0 ? { q: malformed } : {}),
-  };
+const storeBook = (
+  { open, malformed }: RentalBook,
+  settled: readonly SettledRental[],
+  token: FencingToken,
+): unknown => ({
+  t: token,
+  o: open.map(({ name, machineType, zone, spot, shares, at }): StoredIntent => ({
+    n: name,
+    b: machineType,
+    z: zone,
+    p: spot,
+    s: [...shares],
+    a: at,
+  })),
+  d: settled.map(({ name, outcome, machines, at }): StoredSettled => ({
+    n: name,
+    o: outcome,
+    m: machines,
+    a: at,
+  })),
+  ...(malformed.length > 0 ? { q: malformed } : {}),
+});
+
+/** Writes a book as it is stored, with as many outcomes as it has room for; null: its open requests alone are too many. */
+export const writeBook = (book: RentalBook, token: FencingToken, maxBytes: number): unknown => {
+  const bounded = { ...book, malformed: keptMalformed(book.malformed) };
+  const store = (settled: readonly SettledRental[]): unknown => storeBook(bounded, settled, token);
+  const stored = store(newestThatFit(book.settled, maxBytes, store));
+  return storedBytes(stored) <= maxBytes ? stored : null;
 };
--- a/packages/fencing/src/rental-journal.test.ts
+++ b/packages/fencing/src/rental-journal.test.ts
@@ -9,10 +9,12 @@
   type RentalIntent,
 } from './rental-intent.js';
 import { RentalJournal } from './rental-journal.js';
+import { storedBytes } from './stored-size.js';
 import { MemoryValue, type NextWrite } from './testing/memory-value.js';
 import { tokenOf } from './token.js';
 
 const token = tokenOf(5);
+const ROOMY = 16 * 1024;
 const intent = (name: string, at = 0): RentalIntent => ({
   name,
   machineType: 'g8',
@@ -22,9 +24,10 @@
   at,
 });
 
-const journalOn = async (value: MemoryValue, under = token): Promise<RentalJournal> => {
+const journalOn = async (value: MemoryValue, under = token, maxBytes = ROOMY): Promise<RentalJournal> => {
   const journal = new RentalJournal({
     value,
+    maxBytes,
     timeOfDay: () => 0,
     sleep: () => new Promise((resolve) => setImmediate(resolve)),
   });
@@ -136,7 +139,7 @@
     const book = readBook(row.value);
     assert.equal(book.open.length, row.open);
     assert.equal(book.malformed.length, row.aside, 'kept aside, never acted on');
-    assert.equal(readBook(writeBook(book, token)).malformed.length, row.aside, 'and still there');
+    assert.equal(readBook(writeBook(book, token, ROOMY)).malformed.length, row.aside, 'and still there');
   });
 }
 
@@ -148,5 +151,24 @@
     at: n,
   }));
   const book = { ...EMPTY_BOOK, token, open: [intent('r-5-1')], settled: settledRentals };
-  assert.deepEqual(readBook(JSON.parse(JSON.stringify(writeBook(book, token)))), book);
+  assert.deepEqual(readBook(JSON.parse(JSON.stringify(writeBook(book, token, ROOMY)))), book);
+});
+
+test('rental journal: where values are small old outcomes make way, and requests that do not fit wait', async () => {
+  // Guards against a book that outgrew a value of 2 KiB: every write was refused, and nothing was rented any more.
+  const value = new MemoryValue(token);
+  const journal = await journalOn(value, token, 600);
+  for (let n = 1; n <= 30; n += 1) {
+    assert.equal(await journal.open(intent(`r-5-${n}`)), 'announced');
+    journal.close(`r-5-${n}`, 'rented', 2);
+  }
+  assert.ok(storedBytes(value.entry.value) <= 600);
+  assert.equal(readBook(value.entry.value).settled.at(-1)?.name, 'r-5-29', 'the newest are kept');
+  const outcomes = await Promise.all(
+    Array.from({ length: 12 }, (_, n) => journal.open(intent(`r-5-${100 + n}`))),
+  );
+  const announced = outcomes.filter((outcome) => outcome === 'announced').length;
+  assert.ok(announced > 0 && announced < 12, outcomes.join());
+  assert.equal(stored(value).length, announced);
+  assert.ok(storedBytes(value.entry.value) <= 600);
 });
--- a/packages/fencing/src/rental-journal.ts
+++ b/packages/fencing/src/rental-journal.ts
@@ -22,6 +22,8 @@
 /** What the journal needs of its process. */
 export interface RentalJournalInput {
   readonly value: FencedValue;
+  /** bytes: the largest value that may be stored. */
+  readonly maxBytes: number;
   /** ms since the epoch. */
   readonly timeOfDay: () => number;
   readonly sleep: (ms: number) => Promise<void>;
@@ -129,12 +131,24 @@
       withSettled(this.book, outcomes),
       announced.map(({ intent }) => intent),
     );
-    const stored = writeBook(next, token);
+    const stored = writeBook(next, token, this.input.maxBytes);
+    if (stored === null) return this.commitFewer(announced, outcomes);
     const result = await this.writeSurely(stored, token);
     if (result === 'announced' && this.token === token) this.book = next;
     return result;
   }
 
+  /** Not all requests fit in one value: the last one waits until others are over. */
+  private commitFewer(
+    announced: readonly Announcement[],
+    outcomes: readonly SettledRental[],
+  ): Promise<OpenOutcome> {
+    announced.at(-1)?.settle('unavailable');
+    return announced.length === 0
+      ? Promise.resolve('unavailable')
+      : this.commit(announced.slice(0, -1), outcomes);
+  }
+
   /** Without an answer the write may still be applied later; its condition then tells whether it was. */
   private async writeSurely(stored: unknown, token: FencingToken): Promise<OpenOutcome> {
     for (let tries = 0; tries < WRITE_TRIES; tries += 1) {
--- a/packages/fencing/src/testing/history.ts
+++ b/packages/fencing/src/testing/history.ts
@@ -19,6 +19,7 @@
 /** Fraction: drift of two clocks against each other, as the protocol bounds it, doubled. */
 const DRIFT = 0.001;
 const TIME_OF_DAY_ERROR_MS = 25;
+const BOOK_BYTES = 16 * 1024;
 
 /** One step of a history. */
 export type Step =
@@ -85,6 +86,7 @@
         read: () => awake(value.read()),
         write: (...args) => awake(value.write(...args)),
       },
+      maxBytes: BOOK_BYTES,
       timeOfDay: () => this.timeOfDayMs,
       sleep: () => this.delay(),
     });
--- a/src/duties/compose.ts
+++ b/src/duties/compose.ts
@@ -1,5 +1,6 @@
 import { EMPTY_BOOK, readBook, RentalJournal, type RentalBook } from '@dalegate/fencing';
 import { LEADER } from '../claims/decide.js';
+import { VALUE_FILL } from '../constants.js';
 import type { Store } from '../store/client.js';
 import { RENTALS_KEY } from '../store/keys.js';
 import { fencedValue } from './fenced-store.js';
@@ -9,6 +10,8 @@
 /** What the duties need of their controller. */
 export interface DutiesInput extends DutyRegistryInput {
   readonly store: Store;
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
   /** Every controller sends fencing tokens with its orders. */
   readonly tokensRequired: () => boolean;
 }
@@ -32,11 +35,12 @@
 export const composeDuties = (input: DutiesInput): Duties => {
   const { store, wall, enforce, tokensRequired } = input;
   const registry = new DutyRegistry(input);
+  const maxBytes = input.valueBytes * VALUE_FILL;
   const rentals = fencedValue(store, RENTALS_KEY, LEADER, 'user');
   return {
     registry,
     gate: new OrderGate({ audit: registry.audit, tokensRequired, enforce }),
-    journal: enforce ? new RentalJournal({ value: rentals, timeOfDay: wall, sleep }) : null,
+    journal: enforce ? new RentalJournal({ value: rentals, maxBytes, timeOfDay: wall, sleep }) : null,
     readRentals: async () => {
       const outcome = await rentals.read();
       if (outcome._tag === 'unavailable') return null;
--- a/src/fleet/renter.test.ts
+++ b/src/fleet/renter.test.ts
@@ -53,6 +53,7 @@
     duty,
     journal: new RentalJournal({
       value: fencedValue(store, 'i/rent', 'L', 'user'),
+      maxBytes: 16 * 1024,
       timeOfDay: wall,
       sleep: (ms) => new Promise((resolve) => setTimeout(resolve, Math.min(ms, 20))),
     }),
@@ -159,6 +160,7 @@
           data: writeBook(
             { token: null, open: [left(100_000 - row.ageMs)], settled: [], malformed: [] },
             tokenOf(1),
+            16 * 1024,
           ),
         },
       ],
--- a/src/placement/left-over-keys.ts
+++ b/src/placement/left-over-keys.ts
@@ -1,5 +1,6 @@
 import { Remover, type Duty, type LeftOver, type MarkedKey } from '@dalegate/fencing';
 import * as Effect from 'effect/Effect';
+import { VALUE_FILL } from '../constants.js';
 import { fencedValue } from '../duties/fenced-store.js';
 import { log } from '../log.js';
 import type { Store } from '../store/client.js';
@@ -45,6 +46,8 @@
   readonly slot: number;
   readonly claim: number;
   readonly duty: Duty;
+  /** bytes: the largest value that the state service takes, now and later. */
+  readonly valueBytes: number;
   /** Does the share know this job, or do the shared keys show it? */
   readonly jobKnown: (job: string) => boolean;
   /** ms since the epoch. */
@@ -63,6 +66,7 @@
       inUse: (key) => this.inUse(key),
       // The book of removals is one more change.
       batch: () => Math.max(1, store.batchOps - 1),
+      maxBytes: input.valueBytes * VALUE_FILL,
       timeOfDay: input.wall,
       revisionOf: async (key) => {
         const result = await Effect.runPromise(store.get(key, 'work'));
--- a/src/placement/share.ts
+++ b/src/placement/share.ts
@@ -165,6 +165,7 @@
             slot,
             claim,
             duty: cleanUp,
+            valueBytes,
             jobKnown: (job) => shareState.jobs.has(job) || input.cache.get(jobKey(job)) !== undefined,
             wall,
           });
--- a/src/service.ts
+++ b/src/service.ts
@@ -220,6 +220,7 @@
   const { registry, gate, journal, readRentals } = composeDuties({
     leases,
     store,
+    valueBytes,
     wall,
     enforce: features.fencing,
     tokensRequired: () => protocolVersion.agreed >= PROTOCOL_FENCED_ORDERS,
