A rental announced while outcomes fail to be written is taken up; outcomes are tried again

Found by reading. A test with a write under way fails without the change. 77 tests of the package pass.

--- a/packages/fencing/src/rental-journal.test.ts
+++ b/packages/fencing/src/rental-journal.test.ts
@@ -9,6 +9,7 @@
   type RentalIntent,
 } from './rental-intent.js';
 import { RentalJournal } from './rental-journal.js';
+import type { WriteOutcome } from './fenced-value.js';
 import { storedBytes } from './stored-size.js';
 import { MemoryValue, type NextWrite } from './testing/memory-value.js';
 import { tokenOf } from './token.js';
@@ -172,3 +173,24 @@
   assert.equal(stored(value).length, announced);
   assert.ok(storedBytes(value.entry.value) <= 600);
 });
+
+test('rental journal: a request that is announced while outcomes fail to be written is not left waiting', async () => {
+  // Guards against an announcement that nobody took up: its kind of machine was not rented any more.
+  const value = new MemoryValue(token);
+  const journal = await journalOn(value);
+  await journal.open(intent('r-5-1'));
+  const write = value.write;
+  let refuse = (): void => undefined;
+  const refused: Promise<WriteOutcome> = new Promise((resolve) => {
+    refuse = () => resolve({ _tag: 'notCarriedOut', reason: 'status 503' });
+  });
+  Object.assign(value, { write: () => refused });
+  journal.close('r-5-1', 'rented', 1);
+  await settle();
+  const second = journal.open(intent('r-5-2'));
+  Object.assign(value, { write });
+  refuse();
+  assert.equal(await Promise.race([second, settle().then(() => 'left waiting')]), 'announced');
+  await settle();
+  assert.deepEqual(stored(value), ['r-5-2'], 'and the outcome is written in the end');
+});
--- a/packages/fencing/src/rental-journal.ts
+++ b/packages/fencing/src/rental-journal.ts
@@ -94,6 +94,10 @@
   close(name: string, outcome: RentalOutcome, machines = 0): void {
     this.live.delete(name);
     this.outcomes.push({ name, outcome, machines, at: this.input.timeOfDay() });
+    this.flushLater();
+  }
+
+  private flushLater(): void {
     if (this.outcomeTimer) return;
     this.outcomeTimer = true;
     void this.input.sleep(OUTCOME_DELAY_MS).then(() => {
@@ -112,12 +116,12 @@
       const outcomes = this.outcomes.splice(0);
       const result = await this.commit(announced, outcomes);
       for (const { settle } of announced) settle(result);
-      if (result !== 'announced' && outcomes.length > 0) {
-        // A lost claim makes them the successor's to settle; without an answer they wait for the next write.
-        if (result === 'unavailable') this.outcomes.unshift(...outcomes);
-        break;
-      }
+      // A lost claim makes them the successor's to settle; else they wait for the next write.
+      if (result === 'unavailable') this.outcomes.unshift(...outcomes);
+      // Whoever announced something meanwhile waits for its own write.
+      if (result === 'unavailable' && this.announcements.length === 0) break;
     }
+    if (this.outcomes.length > 0) this.flushLater();
     this.writing = false;
   }
 
