Evidence for late actions: permit, rate and lease in the log, a timeline of loopback tests

Neither logs nor stand-ins told apart why a frozen leader's request took effect after its successor's claim.

Log, at debug: provisioning.decided, provisioning.announced, cloud.rate_answered, cloud.permit_checked, lease.confirmed. What is below the level costs a comparison.

A test that finds a late action, or fails, prints it.

--- a/src/claims/lease-manager.ts
+++ b/src/claims/lease-manager.ts
@@ -31,7 +31,7 @@
   ) {
     const shards = Array.from({ length: dependencies.shardCount }, (_, shardId) => String(shardId));
     this.claimNames = [...shards, LEADER_CLAIM];
-    this.renewal = new LeaseRenewal(store);
+    this.renewal = new LeaseRenewal(store, dependencies.now);
     this.keeper = new ClaimKeeper(
       store,
       cache,
--- a/src/claims/lease-renewal.ts
+++ b/src/claims/lease-renewal.ts
@@ -16,7 +16,11 @@
 export class LeaseRenewal {
   private state: LeaseState = { _tag: 'detached' };
 
-  constructor(private readonly store: Pick<KeyValueStore, 'grant' | 'renew'>) {}
+  constructor(
+    private readonly store: Pick<KeyValueStore, 'grant' | 'renew'>,
+    /** ms, lease clock. */
+    private readonly now: () => number,
+  ) {}
 
   /** The lease in the store; null: there is none. */
   get lease(): number | null {
@@ -40,7 +44,9 @@
     const before = this.state;
     this.state = nextLeaseState(before, event, SHARD_LEASE_TTL_MS);
     if (before._tag !== this.state._tag)
-      log.info({ event: 'lease.state_changed', from: before._tag, to: this.state._tag });
+      log.info({ event: 'lease.state_changed', from: before._tag, to: this.state._tag, lease: this.lease });
+    if (event._tag === 'granted' || event._tag === 'renewed')
+      log.debug({ event: 'lease.confirmed', lease: event.lease, sentMsAgo: this.now() - event.sentAt });
   }
 
   /** Asks for a lease; returns the pause before the next request (ms). */
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -8,6 +8,7 @@
 import { CLOUD_RATE_FRACTION, CLOUD_REQUEST_TIMEOUT_MS, CLOUD_SOCKETS } from '../constants/fleet.js';
 import type { CallOutcome, HttpClient, HttpClientFactory, Target } from '../http/model.js';
 import { RateLimiter } from '../kv-store/rate-limiter.js';
+import { log } from '../log.js';
 import {
   machinePagePath,
   readCatalog,
@@ -78,8 +79,15 @@
   }
 
   /** A call with an effect: the right to make it is asked for again as its bytes leave. */
-  private async act(path: string, body: unknown, { mayProceed }: Permit): Promise<CallOutcome> {
-    if (!(await this.rateLimiter.take(1, 'user'))) return RATE_EXCEEDED;
-    return this.client.request('POST', path, body, CLOUD_REQUEST_TIMEOUT_MS, mayProceed);
+  private async act(path: string, body: unknown, permit: Permit): Promise<CallOutcome> {
+    const { duty, token } = permit;
+    const inRate = await this.rateLimiter.take(1, 'user');
+    log.debug({ event: 'cloud.rate_answered', path, duty, token, granted: inRate });
+    if (!inRate) return RATE_EXCEEDED;
+    return this.client.request('POST', path, body, CLOUD_REQUEST_TIMEOUT_MS, () => {
+      const granted = permit.mayProceed();
+      log.debug({ event: 'cloud.permit_checked', path, duty, token, granted });
+      return granted;
+    });
   }
 }
--- a/src/fleet/scale-out.ts
+++ b/src/fleet/scale-out.ts
@@ -128,12 +128,14 @@
   private provision(permit: Permit, intent: ProvisioningIntent): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { journal } = this.input;
+      log.debug({ event: 'provisioning.decided', name: intent.name });
       if (journal) {
         const announced = yield* Effect.promise(() => journal.announce(intent));
         if (announced !== 'announced') {
           log.info({ event: 'provisioning.not_announced', name: intent.name, why: announced });
           return;
         }
+        log.debug({ event: 'provisioning.announced', name: intent.name });
       }
       const result = yield* this.request(permit, intent);
       this.noteCapacity(intent, result);
--- a/src/testing/key-value-store-stand-in.ts
+++ b/src/testing/key-value-store-stand-in.ts
@@ -28,6 +28,8 @@
   readonly tooLarge: string[] = [];
   /** Told of every put, with the revision that it got. */
   onPut: (key: string, value: unknown, version: number) => void = () => undefined;
+  /** Told of every lease that ended, with the keys that went with it. */
+  onLeaseEnd: (lease: number, keys: readonly string[]) => void = () => undefined;
   /** Nodes that alone are refused. */
   readonly refused = new Set<string>();
 
@@ -39,6 +41,7 @@
       const keys = [...this.data].filter(([, entry]) => entry.lease === id).map(([key]) => key);
       if (keys.length > 0) this.epoch += 1;
       for (const key of keys) this.remove(key);
+      this.onLeaseEnd(id, keys);
     }
   }
   private remove(key: string): void {
--- a/src/testing/leader-scenario.ts
+++ b/src/testing/leader-scenario.ts
@@ -28,9 +28,15 @@
   intentWrites = 0;
   private readonly releaseAskedAt = new Map<string, number>();
 
-  private constructor(readonly deployment: Loopback) {
+  private constructor(
+    readonly deployment: Loopback,
+    /** Fencing is on: a late action is a failure, which its reader has to trace. */
+    private readonly isFenced: boolean,
+  ) {
     deployment.state.onPut = (key, value, version) => {
       const at = performance.now();
+      if (key.startsWith('w/c/'))
+        deployment.timeline.note('store', `claim ${key} of ${(value as { n: string }).n} at ${version}`);
       if (key === 'w/c/L') this.tenures.push({ node: (value as { n: string }).n, token: version, from: at });
       if (key === PROVISIONING_KEY) this.intentWrites += 1;
       if (key.startsWith('w/m/') && (value as { r: boolean }).r) this.releaseAskedAt.set(key.slice(4), at);
@@ -41,9 +47,13 @@
     options: LoopbackOptions,
     scene: (scenario: LeaderScenario) => Promise<void>,
   ): Promise<void> {
-    const scenario = new LeaderScenario(await Loopback.start(options));
+    const isFenced = options.features.includes('fencing = true');
+    const scenario = new LeaderScenario(await Loopback.start(options), isFenced);
     try {
       await scene(scenario);
+    } catch (error) {
+      scenario.printTimeline(null);
+      throw error;
     } finally {
       await scenario.deployment.stop();
     }
@@ -91,7 +101,18 @@
     );
   }
 
+  private printTimeline(around: number | null): void {
+    process.stderr.write(`${this.deployment.renderTimeline(around)}\n`);
+  }
+
   lateActions(): readonly LateAction[] {
+    const found = this.findLateActions();
+    const [first] = found;
+    if (first && this.isFenced) this.printTimeline(first.action.at);
+    return found;
+  }
+
+  private findLateActions(): readonly LateAction[] {
     return findLateActions(
       this.deployment.cloud.actions,
       this.tenures,
--- a/src/testing/loopback.ts
+++ b/src/testing/loopback.ts
@@ -4,7 +4,7 @@
  * started again.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import type { Server } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -15,6 +15,7 @@
 import { serve } from '../http/server.js';
 import { CloudStandIn } from './cloud-stand-in.js';
 import { KeyValueStoreStandIn } from './key-value-store-stand-in.js';
+import { Timeline } from './timeline.js';
 
 const HOST = '127.0.0.1';
 /** ms: between looks at a condition that is waited for. */
@@ -79,6 +80,31 @@
   }
 };
 
+const bodyOf = ({ call }: SeenRequest): unknown => (call.body._tag === 'value' ? call.body.value : undefined);
+
+/** A request in one line; of a body only what names its effect. */
+const describe = (request: SeenRequest): string => {
+  const { service, call } = request;
+  const body = (bodyOf(request) ?? {}) as {
+    hire?: string;
+    drovers?: string[];
+    writes?: Record<string, unknown>[];
+  };
+  const keys = body.writes?.map((write) => write['write'] ?? write['remove']).join();
+  const subject = body.hire ?? body.drovers?.join() ?? keys ?? '';
+  return `${service} ${call.method} ${call.path} ${subject}`.trimEnd();
+};
+
+/** The status of an answer, and the claims that a watch tells of. */
+const describeOutcome = (outcome: CallOutcome): string => {
+  if (outcome._tag !== 'response') return outcome._tag;
+  const { news } = (outcome.body ?? {}) as {
+    news?: { write?: string; remove?: string; brandMark: number }[];
+  };
+  const told = news?.map(({ write, remove, brandMark }) => `${write ?? `-${remove}`}@${brandMark}`).join();
+  return told === undefined ? String(outcome.status) : `${outcome.status} news: ${told}`;
+};
+
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
 interface NodePorts {
@@ -93,6 +119,7 @@
   static readonly nodes = ['n0', 'n1', 'n2'] as const;
   readonly state = new KeyValueStoreStandIn();
   readonly cloud = new CloudStandIn();
+  readonly timeline = new Timeline();
   private readonly holds: Hold[] = [];
   private readonly refusals = new Set<(request: SeenRequest) => boolean>();
   private readonly servers: Server[] = [];
@@ -100,7 +127,11 @@
   private readonly ports = new Map<string, NodePorts>();
   private readonly directory = mkdtempSync(join(tmpdir(), 'dalegate-loopback-'));
 
-  private constructor(private readonly options: LoopbackOptions) {}
+  private constructor(private readonly options: LoopbackOptions) {
+    this.timeline.watchEventLoop('stand-in');
+    this.state.onLeaseEnd = (lease, keys) =>
+      this.timeline.note('store', `lease ${lease} ended: ${keys.join()}`);
+  }
 
   static async start(options: LoopbackOptions): Promise<Loopback> {
     const deployment = new Loopback(options);
@@ -147,9 +178,16 @@
   }
 
   private async answer(request: SeenRequest): Promise<ServerResponse> {
-    for (const refuses of this.refusals) if (refuses(request)) return { status: 503 };
+    const text = describe(request);
+    for (const refuses of this.refusals) {
+      if (!refuses(request)) continue;
+      this.timeline.note(request.node, `-> refused ${text}`);
+      return { status: 503 };
+    }
+    this.timeline.note(request.node, `-> ${text}`);
     await this.wait(request, 'request');
     const answer = await this.carryOut(request);
+    this.timeline.note(request.node, `carried out ${text}: ${describeOutcome(answer)}`);
     await this.wait(request, 'answer');
     return answer._tag === 'response' ? { status: answer.status, body: answer.body } : { status: 503 };
   }
@@ -198,13 +236,26 @@
     writeFileSync(file, JSON.stringify(this.settings(node)));
     const flags = ['--single-threaded', '--max-semi-space-size=4', 'target/app/main.js'];
     const features = join(this.directory, 'features.toml');
+    const shownLevel = process.env['LOOPBACK_LOG'];
+    // A file takes all lines at once: a process that waits for its reader would change what is watched.
+    const logFile = openSync(this.logFile(node), 'a');
     const child = spawn(process.execPath, [...flags, '--features', features, '--config', file], {
-      stdio: ['ignore', 'ignore', process.env['LOOPBACK_LOG'] === undefined ? 'ignore' : 'inherit'],
-      env: { ...process.env, LOG_LEVEL: process.env['LOOPBACK_LOG'] ?? 'silent' },
+      stdio: ['ignore', 'ignore', shownLevel === undefined ? logFile : 'inherit'],
+      env: { ...process.env, LOG_LEVEL: shownLevel ?? 'debug' },
     });
+    closeSync(logFile);
     this.processes.set(node, child);
   }
 
+  private logFile(node: string): string {
+    return join(this.directory, `${node}.log`);
+  }
+
+  /** What happened around a moment (ms of `performance.now()`; null: now), for the reader of a failed test. */
+  renderTimeline(around: number | null): string {
+    return this.timeline.render(around, new Map(Loopback.nodes.map((node) => [node, this.logFile(node)])));
+  }
+
   private settings(node: string): object {
     const { api, mesh, state, cloud } = this.portsOf(node);
     return {
@@ -242,9 +293,13 @@
 
   /** The process stands still. */
   freeze(node: string): void {
-    this.child(node).kill('SIGSTOP');
+    const child = this.child(node);
+    this.timeline.note('signals', `SIGSTOP for ${node}`);
+    child.kill('SIGSTOP');
+    if (child.pid !== undefined) this.timeline.noteWhenStopped(node, child.pid);
   }
   resume(node: string): void {
+    this.timeline.note('signals', `SIGCONT for ${node}`);
     this.child(node).kill('SIGCONT');
   }
   /** Ends the process without notice; the promise resolves when it is gone. */
@@ -294,6 +349,7 @@
   }
 
   async stop(): Promise<void> {
+    this.timeline.stop();
     for (const child of this.processes.values()) child.kill('SIGCONT');
     await Promise.all(
       [...this.processes].map(([node, child]) =>
