Fencing: a claim counts under the lease that it is attached to, not under the next one

Cause: `actingRevision` put together that a lease holds and that the copy of the keys shows an own claim; the claim was attached to the lease before.

Mend: before a controller that lost a lease asks for the next one, it reads the store's revision. Nothing can be attached to the ended lease any more and nothing is yet to the next, so the revision parts their claims exactly. One request a lost lease, none at the start.

--- a/src/claims/lease-manager.ts
+++ b/src/claims/lease-manager.ts
@@ -69,9 +69,12 @@
 
   /**
    * The same, if the lease lets this process answer workers and decide under the claim now; null: it may not.
+   * A claim counts under the lease that it is attached to, not under a later one of this process.
    */
   actingRevision(claimName: string): number | null {
-    return this.renewal.mayAct(this.dependencies.now()) ? this.ownRevision(claimName) : null;
+    if (!this.renewal.mayAct(this.dependencies.now())) return null;
+    const revision = this.ownRevision(claimName);
+    return revision !== null && this.renewal.isAttached(revision) ? revision : null;
   }
 
   /** Keeps lease and claims until it is interrupted. */
--- a/src/claims/lease-renewal.ts
+++ b/src/claims/lease-renewal.ts
@@ -1,6 +1,7 @@
 /**
- * Obtains this controller's lease from the key-value store and renews it. Owns the lease's state;
- * `lease-manager.ts` runs the loop, `claim-keeper.ts` reports the passing of time.
+ * Obtains this controller's lease from the key-value store and renews it. Owns the lease's state, and up to
+ * which revision claims belong to an earlier lease; `lease-manager.ts` runs the loop, `claim-keeper.ts`
+ * reports the passing of time.
  */
 import * as Effect from 'effect/Effect';
 import {
@@ -15,9 +16,14 @@
 /** Keeps the lease alive and says whether this controller may act on it. */
 export class LeaseRenewal {
   private state: LeaseState = { _tag: 'detached' };
+  /**
+   * Claims up to this revision were attached to an earlier lease of this process, and ended with it; null: an
+   * earlier lease has ended, and the store's revision since then is not known.
+   */
+  private endedClaimsUpTo: number | null = 0;
 
   constructor(
-    private readonly store: Pick<KeyValueStore, 'grant' | 'renew'>,
+    private readonly store: Pick<KeyValueStore, 'grant' | 'renew' | 'claims'>,
     /** ms, lease clock. */
     private readonly now: () => number,
   ) {}
@@ -32,6 +38,14 @@
     return mayAct(this.state, now);
   }
 
+  /**
+   * Is a claim of this process that was taken at this revision attached to the present lease? The copy of the
+   * keys goes on showing claims of an earlier lease until the watch tells of their end.
+   */
+  isAttached(claimRevision: number): boolean {
+    return this.endedClaimsUpTo !== null && claimRevision > this.endedClaimsUpTo;
+  }
+
   /**
    * Suspends a lease that may be over by `now`, unless an outage of the store lets it go on (ms, lease
    * clock).
@@ -49,8 +63,22 @@
       log.debug({ event: 'lease.confirmed', lease: event.lease, sentMsAgo: this.now() - event.sentAt });
   }
 
+  /**
+   * Learns up to which revision claims belong to an earlier lease; false: the store didn't tell. The earlier
+   * lease is gone, so nothing is attached to it any more; to the next one nothing is attached yet.
+   */
+  private readonly learnEndedClaims: Effect.Effect<boolean> = Effect.gen({ self: this }, function* () {
+    if (this.endedClaimsUpTo !== null) return true;
+    const claims = yield* this.store.claims();
+    if (claims._tag === 'failed') return false;
+    this.endedClaimsUpTo = claims.revision;
+    return true;
+  });
+
   /** Asks for a lease; returns the pause before the next request (ms). */
   private readonly grant: Effect.Effect<number> = Effect.gen({ self: this }, function* () {
+    const known = yield* this.learnEndedClaims;
+    if (!known) return SHARD_CHECK_INTERVAL_MS;
     const result = yield* this.store.grant();
     if (result._tag !== 'held') return SHARD_CHECK_INTERVAL_MS;
     this.transition({ _tag: 'granted', lease: result.lease, sentAt: result.sentAt });
@@ -66,6 +94,7 @@
           this.transition({ _tag: 'renewed', lease, sentAt: result.sentAt });
           return SHARD_LEASE_RENEWAL_INTERVAL_MS;
         case 'gone':
+          this.endedClaimsUpTo = null;
           this.transition({ _tag: 'ended', lease });
           return 0;
         case 'failed':
--- a/src/kv-store/client.ts
+++ b/src/kv-store/client.ts
@@ -50,6 +50,7 @@
   WatchResult,
   Write,
 } from './model.js';
+import { CLAIM_PREFIX } from './keys.js';
 import { RateLimiter, type RequestPriority } from './rate-limiter.js';
 
 /** What all controllers together may ask of the store, and how many they are. */
@@ -251,6 +252,23 @@
     return this.leaseRequest(renewalPath(lease), {});
   }
 
+  /**
+   * The claims as they are now, with the store's revision. Goes over the connections of the leases: whoever
+   * asks needs it for a lease, and waits for no other call.
+   */
+  claims(): Effect.Effect<ListResult> {
+    return Effect.promise(async (): Promise<ListResult> => {
+      const request: StoreRequest = {
+        method: 'GET',
+        path: listPath(CLAIM_PREFIX, null, LIST_PAGE_ENTRIES),
+        timeoutMs: LEASE_REQUEST_TIMEOUT_MS,
+      };
+      const attempt = await this.attempt(this.leases, request, 'vital');
+      const answer = okBody(attempt);
+      return answer ? readPage(answer.body) : failureOf(attempt);
+    });
+  }
+
   private leaseRequest(path: string, body: unknown): Effect.Effect<LeaseResult> {
     return Effect.promise(async (): Promise<LeaseResult> => {
       const request: StoreRequest = { method: 'POST', path, body, timeoutMs: LEASE_REQUEST_TIMEOUT_MS };
--- a/src/kv-store/keys.ts
+++ b/src/kv-store/keys.ts
@@ -6,7 +6,7 @@
 /** Prefix of the shared keys, which every controller follows. */
 export const SHARED_PREFIX = 'w/';
 /** Prefix of the claims. */
-const CLAIM_PREFIX = 'w/c/';
+export const CLAIM_PREFIX = 'w/c/';
 /** Prefix of the machine records. */
 export const MACHINE_PREFIX = 'w/m/';
 /** Prefix of the job records. */
