Relay: shortening a summary always ends, and what fits no value is left out with a word

Callers would see: a controller that can't connect to the leader stops whole; users and workers get no answer and its leases end. Not seen in operation.

Cause: halving left one class of demand with at most eight gangs as it was, and never shortened the counts of spare machines; the loop went on for ever.

Mend: each step leaves out at least one entry or says that none is left. The result is typed (`FittedValue`); what is left out is logged, what fits nowhere isn't written.

All other loops that shorten, page or split were read; none can go on for ever.

--- a/src/peers/store-relay.ts
+++ b/src/peers/store-relay.ts
@@ -12,10 +12,11 @@
 import type { ShardSummary } from '../fleet/shard-summary.js';
 import type { KeyValueStore } from '../kv-store/client.js';
 import { claimKey, ordersKey, summaryKey } from '../kv-store/keys.js';
+import { log } from '../log.js';
 import type { RelayedOrders } from './orders.js';
-import { readRelayedOrders, readRelayedSummary, writeRelayedOrders } from './relay-codec.js';
-import { shortenOrders, shortenSummary } from './relay-size.js';
-import { writeSummary } from './summary-codec.js';
+import { readRelayedOrders, readRelayedSummary } from './relay-codec.js';
+import { fitOrders, fitSummary, type FittedValue } from './relay-size.js';
+import type { WireSummary } from './summary-codec.js';
 
 /** What the relay needs of the rest of the controller. */
 export interface KeyValueStoreRelayDependencies {
@@ -41,10 +42,10 @@
   readonly receivedAt: number;
 }
 
-const isEmpty = ({ needs, spares }: ShardSummary): boolean => needs.length + spares.length === 0;
+const isEmpty = ({ needs, spares }: WireSummary): boolean => needs.length + spares.length === 0;
 
 /** Tells whether an empty summary was written under this claim before. */
-const digestOf = ({ claim, needs, spares }: ShardSummary): string =>
+const digestOf = ({ claim, needs, spares }: WireSummary): string =>
   `${claim}|${needs.length}|${spares.length}`;
 
 /** Passes summaries and orders through the key-value store where connections are refused. */
@@ -94,8 +95,8 @@
     const leaderClaim = this.dependencies.leaderClaim();
     const key = ordersKey(shardId);
     if (leaderClaim === null || !this.due(key)) return Effect.void;
-    const orders = shortenOrders({ leaderClaim, transfers, reservations }, this.dependencies.valueBytes);
-    return this.write(key, writeRelayedOrders(orders), LEADER_CLAIM, leaderClaim);
+    const orders = fitOrders({ leaderClaim, transfers, reservations }, this.dependencies.valueBytes);
+    return this.write(key, orders, LEADER_CLAIM, leaderClaim);
   }
 
   /** Relays the summaries of the shards held here for as long as the leader can't be reached. */
@@ -110,12 +111,14 @@
     const { shardId, claim } = summary;
     const key = summaryKey(shardId);
     if (!this.due(key)) return Effect.void;
-    const short = shortenSummary(summary, this.dependencies.valueBytes);
-    const digest = digestOf(short);
-    // Nothing needed and nothing to spare is written once.
-    if (isEmpty(short) && this.lastDigest.get(shardId) === digest) return Effect.void;
-    this.lastDigest.set(shardId, digest);
-    return this.write(key, writeSummary(short), String(shardId), claim);
+    const short = fitSummary(summary, this.dependencies.valueBytes);
+    if (short._tag === 'fits') {
+      const digest = digestOf(short.stored);
+      // Nothing needed and nothing to spare is written once.
+      if (isEmpty(short.stored) && this.lastDigest.get(shardId) === digest) return Effect.void;
+      this.lastDigest.set(shardId, digest);
+    }
+    return this.write(key, short, String(shardId), claim);
   }
 
   private recent<Content>(received: Received<Content> | undefined): Content | null {
@@ -129,10 +132,25 @@
     return this.dependencies.now() - writtenAt >= RELAY_INTERVAL_MS;
   }
 
-  /** Conditional on the writer's claim: a late copy of a replaced one must not hide what is newer. */
-  private write(key: string, value: unknown, claimName: string, claim: number): Effect.Effect<unknown> {
+  /**
+   * Conditional on the writer's claim: a late copy of a replaced one must not hide what is newer. What fits
+   * no value is not written: whoever waits for it goes on with what came before, until that is too old.
+   */
+  private write(
+    key: string,
+    value: FittedValue<unknown>,
+    claimName: string,
+    claim: number,
+  ): Effect.Effect<unknown> {
     this.writtenAt.set(key, this.dependencies.now());
+    if (value._tag === 'tooLarge') {
+      log.error({ event: 'relay.value_too_large', key, bytes: value.bytes });
+      return Effect.void;
+    }
+    if (Object.keys(value.omitted).length > 0)
+      log.info({ event: 'relay.value_shortened', key, omitted: value.omitted });
     const conditions = [{ key: claimKey(claimName), version: claim }];
-    return this.dependencies.store.compareAndSwap(conditions, [{ _tag: 'put', key, value }], 'work');
+    const put = { _tag: 'put', key, value: value.stored } as const;
+    return this.dependencies.store.compareAndSwap(conditions, [put], 'work');
   }
 }
