Placement: a shard whose claim is lost while its runs are read stays lost

Callers would see: late answers on a small core; each such loss left a loop that woke the process four times a second for as long as it lived, and the shard's memory. Not seen in operation; found by reading.

Cause: the next stage followed from the event alone, so that `loaded` took `lost` back to `rebuilding`; the loader read on after the loss.

--- a/src/placement/shard-composition.ts
+++ b/src/placement/shard-composition.ts
@@ -159,6 +159,7 @@
     shardOfTeam: context.shardOfTeam,
     shardState,
     orphanedKeys,
+    isLost: stage.isLost,
     onRunsRead: () => {
       stage.apply('loaded');
       liveness.loadedAt = context.now();
--- a/src/placement/shard-loader.ts
+++ b/src/placement/shard-loader.ts
@@ -11,13 +11,13 @@
 import type { WatchCache } from '../kv-store/watch-cache.js';
 import { log } from '../log.js';
 import type { OrphanedKeys } from './orphaned-keys.js';
-import type { ShardIdentity } from './ports.js';
+import type { ShardIdentity, StageQueries } from './ports.js';
 import { RunLoader } from './run-loader.js';
 import { bindingKey, type ShardMachine } from './shard-model.js';
 import type { ShardState } from './shard-state.js';
 
 /** What the loading needs of its shard. */
-export interface ShardLoaderDependencies extends ShardIdentity {
+export interface ShardLoaderDependencies extends ShardIdentity, Pick<StageQueries, 'isLost'> {
   readonly store: KeyValueStore;
   readonly cache: WatchCache;
   readonly shardOfTeam: ReadonlyMap<string, number>;
@@ -35,16 +35,19 @@
 export class ShardLoader {
   constructor(private readonly dependencies: ShardLoaderDependencies) {}
 
-  /** Reads the shard's runs. The cache already shows every change before the claim's own revision. */
+  /**
+   * Reads the shard's runs, unless its claim is lost meanwhile: then what was read is its next holder's. The
+   * cache already shows every change before the claim's own revision.
+   */
   readonly load: Effect.Effect<void> = Effect.gen({ self: this }, function* () {
-    const { store, shardId } = this.dependencies;
-    for (;;) {
+    const { store, shardId, isLost } = this.dependencies;
+    while (!isLost()) {
       const runs = yield* store.list(runsPrefix(shardId), 'user');
       if (runs._tag === 'failed') {
         yield* Effect.sleep(STORE_RETRY_DELAY_MS);
         continue;
       }
-      this.takeIn(runs.entries);
+      if (!isLost()) this.takeIn(runs.entries);
       return;
     }
   });
--- a/src/placement/shard.ts
+++ b/src/placement/shard.ts
@@ -25,7 +25,7 @@
 
 /** One shard, under one claim. */
 export class Shard {
-  private readonly shardStage = new ShardStage();
+  private readonly shardStage: ShardStage;
   private readonly roundLoop: RoundLoop;
   private readonly roundWaiters = new RoundWaiters();
   private readonly components: ShardComponents;
@@ -36,6 +36,7 @@
     readonly claim: number,
     private readonly context: ShardContext,
   ) {
+    this.shardStage = new ShardStage({ shardId, claim });
     this.roundLoop = new RoundLoop({
       now: context.now,
       isLost: this.shardStage.isLost,
