--- a/src/testing/loopback.ts
+++ b/src/testing/loopback.ts
@@ -6,7 +6,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import type { Server } from 'node:http';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { MAX_BODY_BYTES } from '../constants/http.js';
@@ -15,9 +14,10 @@
 import { serve } from '../http/server.js';
 import { CloudStandIn } from './cloud-stand-in.js';
 import { KeyValueStoreStandIn } from './key-value-store-stand-in.js';
+import { freePort, LOOPBACK_HOST as HOST } from './loopback-ports.js';
+import { textOfOutcome, textOfRequest } from './request-text.js';
 import { Timeline } from './timeline.js';
 
-const HOST = '127.0.0.1';
 /** ms: between looks at a condition that is waited for. */
 const LOOK_MS = 20;
 /** ms: longest wait for a condition, also on a busy machine. */
@@ -56,55 +56,6 @@
   readonly cloudRps: number;
 }
 
-/**
- * Ports below those that the system hands out by itself, so that no connection or listener of another process
- * takes one between the look and its use, nor while a killed controller is down. Each process has its own.
- */
-const FIRST_PORT = 12_000;
-const PORTS_PER_PROCESS = 100;
-const PROCESS_RANGES = 200;
-let nextPort = FIRST_PORT + (process.pid % PROCESS_RANGES) * PORTS_PER_PROCESS;
-
-const isFree = (port: number): Promise<boolean> =>
-  new Promise((resolve) => {
-    const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, HOST, () => server.close(() => resolve(true)));
-  });
-
-const freePort = async (): Promise<number> => {
-  for (;;) {
-    const port = nextPort;
-    nextPort += 1;
-    if (await isFree(port)) return port;
-  }
-};
-
-const bodyOf = ({ call }: SeenRequest): unknown => (call.body._tag === 'value' ? call.body.value : undefined);
-
-/** A request in one line; of a body only what names its effect. */
-const describe = (request: SeenRequest): string => {
-  const { service, call } = request;
-  const body = (bodyOf(request) ?? {}) as {
-    hire?: string;
-    drovers?: string[];
-    writes?: Record<string, unknown>[];
-  };
-  const keys = body.writes?.map((write) => write['write'] ?? write['remove']).join();
-  const subject = body.hire ?? body.drovers?.join() ?? keys ?? '';
-  return `${service} ${call.method} ${call.path} ${subject}`.trimEnd();
-};
-
-/** The status of an answer, and the claims that a watch tells of. */
-const describeOutcome = (outcome: CallOutcome): string => {
-  if (outcome._tag !== 'response') return outcome._tag;
-  const { news } = (outcome.body ?? {}) as {
-    news?: { write?: string; remove?: string; brandMark: number }[];
-  };
-  const told = news?.map(({ write, remove, brandMark }) => `${write ?? `-${remove}`}@${brandMark}`).join();
-  return told === undefined ? String(outcome.status) : `${outcome.status} news: ${told}`;
-};
-
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
 interface NodePorts {
@@ -178,7 +129,7 @@
   }
 
   private async answer(request: SeenRequest): Promise<ServerResponse> {
-    const text = describe(request);
+    const text = textOfRequest(request);
     for (const refuses of this.refusals) {
       if (!refuses(request)) continue;
       this.timeline.note(request.node, `-> refused ${text}`);
@@ -187,7 +138,7 @@
     this.timeline.note(request.node, `-> ${text}`);
     await this.wait(request, 'request');
     const answer = await this.carryOut(request);
-    this.timeline.note(request.node, `carried out ${text}: ${describeOutcome(answer)}`);
+    this.timeline.note(request.node, `carried out ${text}: ${textOfOutcome(answer)}`);
     await this.wait(request, 'answer');
     return answer._tag === 'response' ? { status: answer.status, body: answer.body } : { status: 503 };
   }
