--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -47,6 +47,10 @@
   }
 
   async start() {
+    // The last resort, if this process ends without `stop`.
+    process.once('exit', () => {
+      for (const child of this.processes.values()) child.kill('SIGKILL');
+    });
     const program = runCommand().find((word) => word.endsWith('.js'));
     if (!existsSync(join(ROOT, program)))
       throw new Error(`${program} is missing: run the build of the deploy file`);
@@ -202,6 +206,7 @@
   const timer = setTimeout(() => void finish(2, 'could not run: no verdict within 118 s'), 118_000);
   for (const signal of ['SIGINT', 'SIGTERM'])
     process.once(signal, () => void finish(2, `could not run: ${signal}`));
+  process.once('uncaughtException', (error) => void finish(2, `could not run: ${error.stack}`));
   try {
     const verdict = await play({ trouble, record, onEnd: (cleanUp) => cleanUps.push(cleanUp) });
     clearTimeout(timer);
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -21,6 +21,8 @@
   fetching = new Map();
   target = 0;
   agents = new Map();
+  /** Bodies of the direct commands that were carried out. */
+  direct = [];
   leaseFrom = performance.now();
 
   constructor(fleet, machine, port) {
@@ -32,6 +34,7 @@
 
   async start() {
     this.server = await serve(this.port, (request) => this.handle(request));
+    if (this.gone) return;
     this.ticker = setInterval(() => this.tick(), 50);
     void this.reportLoop();
   }
@@ -41,8 +44,8 @@
     this.gone = true;
     for (const task of [...this.tasks.values()]) this.leave(task, why);
     clearInterval(this.ticker);
-    this.server.closeAllConnections();
-    this.server.close();
+    this.server?.closeAllConnections();
+    this.server?.close();
     for (const agent of this.agents.values()) agent.destroy();
   }
 
@@ -200,6 +203,7 @@
     if (path === '/inspect') return { status: 200, body: this.report() };
     if (typeof body?.crook !== 'number' || typeof body.stint !== 'number') return { status: 400 };
     if (body.crook < this.crook || body.stint !== this.stint) return { status: 409, body: this.report() };
+    this.direct.push(body);
     this.execute(body.crook, body.calls);
     return { status: 200, body: this.report() };
   }
--- a/review/lib/wire.mjs
+++ b/review/lib/wire.mjs
@@ -10,17 +10,29 @@
 const pack = (value) => packr.pack(value);
 const unpack = (parts) => (parts.length === 0 ? null : packr.unpack(Buffer.concat(parts)));
 
-/** Returns a port that nobody listens on. */
-export const freePort = () =>
-  new Promise((resolve, reject) => {
+const FIRST_PORT = 18_000;
+const LAST_PORT = 30_000;
+const given = new Set();
+const canListen = (port) =>
+  new Promise((resolve) => {
     const probe = net.createServer();
-    probe.once('error', reject);
-    probe.listen(0, HOST, () => {
-      const { port } = probe.address();
-      probe.close(() => resolve(port));
-    });
+    probe.once('error', () => resolve(false));
+    probe.listen(port, HOST, () => probe.close(() => resolve(true)));
   });
 
+/**
+ * Returns a port that nobody listens on, below those that the system gives to outgoing connections: a
+ * controller that is started again must find its port free.
+ */
+export const freePort = async () => {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (given.has(port) || !(await canListen(port))) continue;
+    given.add(port);
+    return port;
+  }
+};
+
 /**
  * Serves requests; `handle({ method, path, query, body })` resolves to `{ status, body }`, or to null if no
  * answer is to be sent.
