--- a/review/lib/state.mjs
+++ b/review/lib/state.mjs
@@ -35,8 +35,8 @@
   down = false;
   /** Controllers that alone get 503. */
   refused = new Set();
-  /** Called with the controller and the transaction before it is carried out; may return a promise. */
-  beforeTransaction = () => undefined;
+  /** Controllers whose requests arrive and are carried out, while every answer to them is lost. */
+  unheard = new Set();
   servers = [];
 
   constructor({ rps, write_rps, value_kb, txn_ops }) {
@@ -47,7 +47,11 @@
   }
 
   async listen(node, port) {
-    this.servers.push(await serve(port, (request) => this.handle(node, request)));
+    const handle = async (request) => {
+      const answer = await this.handle(node, request);
+      return this.unheard.has(node) ? null : answer;
+    };
+    this.servers.push(await serve(port, handle));
   }
   close() {
     for (const server of this.servers) {
@@ -88,11 +92,7 @@
     if (refused && !watch) return { status: 503, body: {} };
     if (!this.requests.take(1)) return { status: 429, body: {} };
     if (watch) return this.follow(node, query);
-    if (path === '/txn') {
-      await this.beforeTransaction(node, body);
-      this.expireLeases();
-      return this.transact(body);
-    }
+    if (path === '/txn') return this.transact(body);
     if (path === '/holds') {
       this.lastLease += 1;
       this.leases.set(this.lastLease, { ttlMs: body.ttlMs, until: performance.now() + body.ttlMs });
