--- a/review/1/test.mjs
+++ b/review/1/test.mjs
@@ -6,7 +6,7 @@
 import { sleep } from '../lib/wire.mjs';
 
 /** Jobs before the last one. A submission stays below 3 KB. */
-const JOBS = 140;
+const JOBS = 160;
 const SUBMISSION_INTERVAL_MS = 100;
 /** `kit/more/hunt/LATER.md`: a job about which no question is answered for 75 s counts as forgotten. */
 const FORGOTTEN_S = 75;
@@ -91,7 +91,7 @@
   await Promise.race([accepting, sleep(5_000)]);
 
   // Users ask about the first and the last job at every controller.
-  const asked = [uid(1), uid(70), uid(JOBS)];
+  const asked = [uid(1), uid(80), uid(JOBS)];
   const from = performance.now();
   const lastAnswer = new Map(asked.map((job) => [job, from]));
   const silence = new Map(asked.map((job) => [job, 0]));
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -32,9 +32,13 @@
     this.addr = `${HOST}:${port}`;
   }
 
-  async start() {
+  /** Takes the port; the machine answers nothing before `start`. */
+  async listen() {
     this.server = await serve(this.port, (request) => this.handle(request));
-    if (this.gone) return;
+  }
+  start() {
+    this.up = true;
+    this.leaseFrom = performance.now();
     this.ticker = setInterval(() => this.tick(), 50);
     void this.reportLoop();
   }
@@ -198,7 +202,7 @@
   }
   async handle({ path, body }) {
     while (this.hung) await sleep(20);
-    if (this.cut || this.gone) return null;
+    if (this.cut || this.gone || !this.up) return null;
     this.expireLease();
     if (path === '/inspect') return { status: 200, body: this.report() };
     if (typeof body?.crook !== 'number' || typeof body.stint !== 'number') return { status: 400 };
@@ -265,6 +269,7 @@
   done = new Set();
   hires = new Map();
   lastMachine = 0;
+  servers = [];
   /** Returns how many machines of a kind the cloud still has. */
   capacity = () => Number.POSITIVE_INFINITY;
 
@@ -285,8 +290,10 @@
   }
   close() {
     for (const { worker } of this.machines.values()) worker?.stop('end of the test');
-    this.server?.closeAllConnections();
-    this.server?.close();
+    for (const server of [this.server, ...this.servers]) {
+      server?.closeAllConnections();
+      server?.close();
+    }
   }
 
   ledger(what, worker, task, why) {
@@ -343,13 +350,14 @@
     this.machines.set(uid, machine);
     this.note(`cloud: ${uid} is rented (${breed}, ${paddock}, ${agistment ? 'spot' : 'ordinary'})`);
     const worker = new Worker(this, machine, await freePort());
+    await worker.listen();
     machine.addr = worker.addr;
+    this.servers.push(worker.server);
     setTimeout(() => {
       if (!this.machines.has(uid)) return;
       machine.status = 'running';
       machine.worker = worker;
-      worker.leaseFrom = performance.now();
-      void worker.start();
+      worker.start();
     }, bootMs);
     return uid;
   }
