Forget an attempt only under a higher token than the command that started it

What callers saw: a repeat of a direct `run` that was carried out, after `reap` and under the same token, started a preempted task again while it ran on another machine (ran_twice); the same way a cancelled task (ran_cancelled), or a team above its limit (quota).

Cause: a worker refuses a copy of a `run` because it holds the attempt or has seen a higher token. `reap` ends the first, and only a `run` without an answer was remembered with its token, so nothing made sure of the second.

Change: every direct `run` is remembered with token and session until the worker refuses it for good. An attempt that it started is forgotten only in an answer with a higher token, which the worker takes before it executes the `reap`. The token rises without a write, to the revision that the watch cache has applied: up to there nobody else took the shard or the machine, and whoever does so later has a higher revision. A heartbeat that names any token of the holder counts as confirmed, so a lost answer costs nothing. Related paths: a start refused for lack of room, and a machine that moved before its new holder is known, had the same fault; later holders, lost answers and ended sessions held before.

--- a/src/placement/direct-commands.ts
+++ b/src/placement/direct-commands.ts
@@ -1,26 +1,24 @@
 /**
  * Sends commands directly to workers instead of waiting for their next heartbeat. No state of its own: it
- * records on each machine which `run` commands are unacknowledged. `Binder` sends runs, `Shard` sends stops,
- * `ShardChanges` announces tokens.
+ * records on each machine which `run` commands it sent, and their outcome. `Binder` sends runs, `Shard` sends
+ * stops, `ShardChanges` announces tokens.
  */
 import { log } from '../log.js';
 import type { Command, WorkerHeartbeat } from '../workers/model.js';
 import type { DirectResult } from '../workers/worker-client.js';
-import { recordLastSeen, tokenOf } from './heartbeat-order.js';
-import type { RoundTrigger, ShardIdentity, StageQueries, SteadyClock } from './ports.js';
+import { recordDirectRun, removeDirectRun } from './direct-runs.js';
+import { recordLastSeen } from './heartbeat-order.js';
+import type { RoundTrigger, StageQueries, SteadyClock } from './ports.js';
 import type { CommandSender } from './shard-context.js';
-import { bindingKey, type Binding, type ShardMachine } from './shard-model.js';
+import { bindingKey, type Binding, type DirectRun, type ShardMachine } from './shard-model.js';
 import type { ShardState } from './shard-state.js';
+import type { WorkerTokens } from './worker-tokens.js';
 
 /** What the direct commands need of their shard. */
 export interface DirectCommandsDependencies
-  extends
-    Pick<ShardIdentity, 'claim'>,
-    SteadyClock,
-    Pick<StageQueries, 'isLoaded' | 'isLost'>,
-    RoundTrigger,
-    CommandSender {
+  extends SteadyClock, Pick<StageQueries, 'isLoaded' | 'isLost'>, RoundTrigger, CommandSender {
   readonly shardState: ShardState;
+  readonly tokens: WorkerTokens;
 }
 
 const keyOf = (binding: Binding): string => bindingKey(binding.job, binding.index, binding.attempt);
@@ -60,31 +58,34 @@
       // The answer to a heartbeat that waits for this round carries the commands.
       if (machine.pendingAnswers > 0) continue;
       const token = this.token(machine);
-      for (const binding of machineBindings) machine.unacknowledgedRuns.set(keyOf(binding), token);
+      const runs = new Map<string, DirectRun>();
+      for (const binding of machineBindings) {
+        const key = keyOf(binding);
+        runs.set(key, recordDirectRun(machine, key, token));
+      }
       void this.send(machine, machineBindings.map(runCommand)).then((result) =>
-        this.onRunsAnswered(machine, machineBindings, token, result),
+        this.onRunsAnswered(machine, runs, result),
       );
     }
   }
 
   private onRunsAnswered(
     machine: ShardMachine,
-    bindings: readonly Binding[],
-    token: number,
+    runs: ReadonlyMap<string, DirectRun>,
     result: DirectResult,
   ): void {
     switch (result._tag) {
       case 'executed':
+        for (const run of runs.values()) run.outcome = 'executed';
+        this.onResponse(machine, result.heartbeat);
+        return;
       case 'refused':
-        for (const binding of bindings) {
-          const key = keyOf(binding);
-          if (machine.unacknowledgedRuns.get(key) === token) machine.unacknowledgedRuns.delete(key);
-        }
-        if (result._tag === 'executed') this.onResponse(machine, result.heartbeat);
+        for (const [key, run] of runs) removeDirectRun(machine, key, run);
         return;
       case 'unknown':
+        for (const run of runs.values()) run.outcome = 'unanswered';
         machine.needsHigherToken = true;
-        log.info({ event: 'direct_commands.unacknowledged', machine: machine.id, tasks: bindings.length });
+        log.info({ event: 'direct_commands.unacknowledged', machine: machine.id, tasks: runs.size });
         this.dependencies.requestRound();
     }
   }
@@ -140,7 +141,7 @@
   }
 
   private token(machine: ShardMachine): number {
-    return tokenOf(this.dependencies.claim, machine);
+    return this.dependencies.tokens.current(machine);
   }
 
   /** Groups bindings by machine; leaves out machines without a known address or a confirmed token. */
--- a/src/placement/heartbeat-order.ts
+++ b/src/placement/heartbeat-order.ts
@@ -1,6 +1,5 @@
 /**
- * Orders the messages of a worker, and determines the fencing token of a machine. No state of its own;
- * `WorkerSessions` and `DirectCommands` call it.
+ * Orders the messages of a worker. No state of its own; `WorkerSessions` and `DirectCommands` call it.
  */
 import type { WorkerHeartbeat } from '../workers/model.js';
 import { bindingKey, type ShardMachine } from './shard-model.js';
@@ -19,9 +18,6 @@
   message.agentEpoch > other.agentEpoch ||
   (message.agentEpoch === other.agentEpoch && message.sequenceNumber > other.sequenceNumber);
 
-/** The fencing token for a machine: the later revision of the shard's claim and of the machine's record. */
-export const tokenOf = (claim: number, machine: ShardMachine): number => Math.max(claim, machine.version);
-
 /**
  * Records the position of a message in each binding that it shows, unless a newer message showed the binding.
  */
--- a/src/placement/machine-lifecycle.ts
+++ b/src/placement/machine-lifecycle.ts
@@ -8,6 +8,7 @@
 import type { MachineTransfer } from '../fleet/machine-transfer.js';
 import { log } from '../log.js';
 import type { KeyValueStore } from '../kv-store/client.js';
+import { hasUnansweredRuns } from './direct-runs.js';
 import type { MachineLiveness, MachineToRelease } from './machine-liveness.js';
 import type { ShardIdentity, StageQueries, SteadyClock } from './ports.js';
 import type { UrgentRelease } from './shard-context.js';
@@ -126,7 +127,7 @@
 
   /**
    * Whether the machine may be transferred to another shard: it is healthy and not to be released, no task is
-   * bound to it, no direct `run` command is of unknown outcome, and its worker reports only exited tasks that
+   * bound to it, no direct `run` command is without an answer, and its worker reports only exited tasks that
    * the stored runs no longer bind. Any holder may order the worker to forget such tasks.
    */
   isTransferable(machine: ShardMachine): boolean {
@@ -135,7 +136,7 @@
       !machine.cordoned &&
       !machine.needsHigherToken &&
       this.dependencies.liveness.isIdle(machine) &&
-      machine.unacknowledgedRuns.size === 0 &&
+      !hasUnansweredRuns(machine) &&
       machine.reclaimNoticeAt === null &&
       machine.health._tag === 'healthy' &&
       machine.reportedTasks.every(({ job, index, attempt }) =>
--- a/src/placement/shard-composition.ts
+++ b/src/placement/shard-composition.ts
@@ -22,6 +22,7 @@
 import { ShardState } from './shard-state.js';
 import { ShardSummaryBuilder } from './shard-summary-builder.js';
 import { WorkerSessions } from './worker-sessions.js';
+import { WorkerTokens } from './worker-tokens.js';
 
 /** What the shard itself provides to its classes. */
 export interface ShardFoundation extends ShardIdentity, RoundTrigger {
@@ -71,13 +72,14 @@
   });
 
 const createSessions = (
-  { claim, context, stage, requestRound }: ShardFoundation,
+  { context, stage, requestRound }: ShardFoundation,
   shardState: ShardState,
+  tokens: WorkerTokens,
   liveness: MachineLiveness,
 ): WorkerSessions =>
   new WorkerSessions({
     shardState,
-    claim,
+    tokens,
     now: context.now,
     leaseMs: liveness.leaseMs,
     isLoaded: stage.isLoaded,
@@ -87,12 +89,13 @@
   });
 
 const createDirectCommands = (
-  { claim, context, stage, requestRound }: ShardFoundation,
+  { context, stage, requestRound }: ShardFoundation,
   shardState: ShardState,
+  tokens: WorkerTokens,
 ): DirectCommands =>
   new DirectCommands({
     shardState,
-    claim,
+    tokens,
     now: context.now,
     isLoaded: stage.isLoaded,
     isLost: stage.isLost,
@@ -123,8 +126,9 @@
   const { store, valueBytes, maySplit, now, wall } = context;
   const shardState = new ShardState({ now, wall, requestRound });
   const liveness = createLiveness(foundation, shardState);
-  const sessions = createSessions(foundation, shardState, liveness);
-  const directCommands = createDirectCommands(foundation, shardState);
+  const tokens = new WorkerTokens({ claim, appliedRevision: () => context.cache.revision });
+  const sessions = createSessions(foundation, shardState, tokens, liveness);
+  const directCommands = createDirectCommands(foundation, shardState, tokens);
   const transactions = new ClaimTransactions({ store, shardId, claim, markLost, isLost: stage.isLost });
   const runs = new RunWriter({ transactions, store, shardId, valueBytes, maySplit });
   const orphanedKeys = createOrphanedKeys(foundation, shardState, transactions);
--- a/src/placement/shard-model.ts
+++ b/src/placement/shard-model.ts
@@ -150,6 +150,21 @@
   /** The machine has been idle for longer than its hold time. */
   | 'idle';
 
+/**
+ * What is known of a direct `run` command. `pending`: its answer is awaited. `unanswered`: no answer came in
+ * time, so the worker may have executed it, or may do so later. `executed`: the worker has executed it.
+ */
+export type DirectRunOutcome = 'pending' | 'unanswered' | 'executed';
+
+/** A direct `run` command of which the worker may still execute a copy. */
+export interface DirectRun {
+  /** The token that the command carries: a worker that has seen a higher one refuses it. */
+  readonly token: number;
+  /** The worker's session that the command names: a worker in a later one refuses it. */
+  readonly agentEpoch: number;
+  outcome: DirectRunOutcome;
+}
+
 /** A machine of the shard, with the contents of its worker's last heartbeat. */
 export interface ShardMachine {
   readonly id: string;
@@ -174,10 +189,14 @@
   agentEpoch: number;
   sequenceNumber: number;
   /**
-   * The current token, if the last heartbeat or the response to an announced token named it; 0: not
-   * confirmed.
+   * The token of this holder that the last heartbeat or the response to an announced token named; 0: it named
+   * none.
    */
   confirmedToken: number;
+  /**
+   * The highest token that this holder raised the machine to without a write; 0: none. See `WorkerTokens`.
+   */
+  raisedToken: number;
   /**
    * Whether the worker has ever reported a token of this holder, so that no command of an earlier holder can
    * reach it.
@@ -186,8 +205,8 @@
   /** ms on the steady clock: when the machine was added to this shard under this holder. */
   readonly addedAt: number;
   /**
-   * ms on the steady clock: since when the worker's heartbeats do not name the current token, so that answers
-   * may not reach it; null: the last one named it, or none was received.
+   * ms on the steady clock: since when the worker's heartbeats do not name a token of this holder, so that
+   * answers may not reach it; null: the last one named one, or none was received.
    */
   unconfirmedSince: number | null;
   /**
@@ -203,13 +222,13 @@
   /** s until the cloud reclaims the machine, as last reported; null: no notice. */
   reclaimNoticeS: number | null;
   /**
-   * Direct `run` commands of unknown outcome, by attempt, with the token that they carried: the worker may
-   * still execute such a command until it has seen a higher token.
+   * Direct `run` commands that the worker does not refuse yet, by attempt. A copy of one has no effect while
+   * the worker holds the attempt, and starts the attempt again once the worker has forgotten it.
    */
-  readonly unacknowledgedRuns: Map<string, number>;
+  readonly directRuns: Map<string, DirectRun>;
   /**
    * Whether the machine's record is to be rewritten in order to raise the token: a worker that has seen a
-   * higher token executes no unacknowledged command.
+   * higher token executes no unanswered command.
    */
   needsHigherToken: boolean;
   /**
--- a/src/placement/worker-sessions.test.ts
+++ b/src/placement/worker-sessions.test.ts
@@ -10,6 +10,7 @@
 import { ShardState } from './shard-state.js';
 import { MachineLiveness } from './machine-liveness.js';
 import { WorkerSessions } from './worker-sessions.js';
+import { WorkerTokens } from './worker-tokens.js';
 import type { ShardMachine } from './shard-model.js';
 
 const LEASE_S = 20;
@@ -54,7 +55,7 @@
   });
   readonly sessions = new WorkerSessions({
     shardState: this.shardState,
-    claim: 50,
+    tokens: new WorkerTokens({ claim: 50, appliedRevision: () => 50 }),
     now: () => this.now,
     leaseMs: this.liveness.leaseMs,
     isLoaded: () => true,
--- a/src/placement/worker-sessions.ts
+++ b/src/placement/worker-sessions.ts
@@ -8,20 +8,19 @@
 import { log } from '../log.js';
 import type { Command, WorkerHeartbeat } from '../workers/model.js';
 import { answerCommands, detectPhaseChanges } from '../workers/reconcile.js';
-import { isNewer, recordLastSeen, tokenOf } from './heartbeat-order.js';
-import type { RoundTrigger, ShardIdentity, StageQueries, SteadyClock } from './ports.js';
+import { isRunRefusedUnder, mayStartLate, removeRefusedRuns } from './direct-runs.js';
+import { isNewer, recordLastSeen } from './heartbeat-order.js';
+import type { RoundTrigger, StageQueries, SteadyClock } from './ports.js';
 import { chunkOf } from './run-records.js';
 import { bindingKey, type ShardMachine } from './shard-model.js';
 import type { ShardState } from './shard-state.js';
+import type { WorkerTokens } from './worker-tokens.js';
 
 /** What the sessions with workers need of their shard. */
 export interface WorkerSessionsDependencies
-  extends
-    Pick<ShardIdentity, 'claim'>,
-    SteadyClock,
-    Pick<StageQueries, 'isLoaded' | 'isPlacing'>,
-    RoundTrigger {
+  extends SteadyClock, Pick<StageQueries, 'isLoaded' | 'isPlacing'>, RoundTrigger {
   readonly shardState: ShardState;
+  readonly tokens: WorkerTokens;
   /**
    * ms: a worker that was answered within this time still has its lease, provided that the answer arrived.
    */
@@ -59,11 +58,12 @@
    * received (a late copy) or names a higher token than this shard's.
    */
   onHeartbeat(heartbeat: WorkerHeartbeat): HeartbeatReceipt | null {
-    const { shardState, isPlacing, requestRound, now } = this.dependencies;
+    const { shardState, tokens, isPlacing, requestRound, now } = this.dependencies;
     const machine = this.machineIfNewer(heartbeat);
     if (!machine) return null;
     const receivedAt = now();
-    const underToken = heartbeat.token === this.token(machine);
+    const underToken = tokens.isOfThisHolder(heartbeat.token, machine);
+    removeRefusedRuns(machine, heartbeat);
     const restarted = this.restartedWithinLease(machine, heartbeat, receivedAt);
     const changes = this.reportedChanges(machine, heartbeat, underToken);
     recordLastSeen(machine, heartbeat);
@@ -78,13 +78,10 @@
     return { awaitRound: isPlacing() && (machine.bound.size < boundBefore || newlyConfirmed) };
   }
 
-  private token(machine: ShardMachine): number {
-    return tokenOf(this.dependencies.claim, machine);
-  }
-
   private machineIfNewer(heartbeat: WorkerHeartbeat): ShardMachine | null {
-    const machine = this.dependencies.shardState.machines.get(heartbeat.machine);
-    if (!machine || heartbeat.token > this.token(machine) || !isNewer(heartbeat, machine)) return null;
+    const { shardState, tokens } = this.dependencies;
+    const machine = shardState.machines.get(heartbeat.machine);
+    if (!machine || heartbeat.token > tokens.current(machine) || !isNewer(heartbeat, machine)) return null;
     return machine;
   }
 
@@ -104,9 +101,7 @@
     underToken: boolean,
   ): ReturnType<typeof detectPhaseChanges> {
     if (!this.dependencies.isLoaded()) return [];
-    return detectPhaseChanges(machine, heartbeat, underToken, (key) =>
-      this.mayStillRun(machine, key, heartbeat.token),
-    );
+    return detectPhaseChanges(machine, heartbeat, underToken, (key) => mayStartLate(machine, key));
   }
 
   private recordSession(
@@ -118,7 +113,7 @@
     machine.agentEpoch = heartbeat.agentEpoch;
     machine.sequenceNumber = heartbeat.sequenceNumber;
     machine.addr = heartbeat.addr;
-    machine.confirmedToken = underToken ? this.token(machine) : 0;
+    machine.confirmedToken = underToken ? heartbeat.token : 0;
     machine.everConfirmedToken ||= underToken;
     machine.unconfirmedSince = underToken ? null : (machine.unconfirmedSince ?? now);
     machine.answeredAt = now;
@@ -161,36 +156,46 @@
     requestRound();
   }
 
-  /** Whether a worker that has seen `workerToken` may still execute a direct `run` of this attempt. */
-  private mayStillRun(machine: ShardMachine, key: string, workerToken: number): boolean {
-    const token = machine.unacknowledgedRuns.get(key);
-    if (token === undefined) return false;
-    if (workerToken <= token) return true;
-    machine.unacknowledgedRuns.delete(key);
-    return false;
-  }
-
   // ---- answers --------------------------------------------------------------------------------------------
 
   /**
    * The commands that answer a heartbeat; null: the machine has sent a later one, or is not in this shard.
    */
   commandsFor(heartbeat: WorkerHeartbeat): FencedCommands | null {
-    const machine = this.dependencies.shardState.machines.get(heartbeat.machine);
+    const { shardState, tokens, isLoaded } = this.dependencies;
+    const machine = shardState.machines.get(heartbeat.machine);
     if (machine?.sequenceNumber !== heartbeat.sequenceNumber || machine.agentEpoch !== heartbeat.agentEpoch)
       return null;
-    const token = this.token(machine);
-    if (!this.dependencies.isLoaded()) return { token, commands: this.stopsOfCancelled(heartbeat) };
+    const commands = isLoaded()
+      ? this.answerOfLoadedShard(machine, heartbeat)
+      : this.stopsOfCancelled(heartbeat);
+    return { token: tokens.current(machine), commands };
+  }
+
+  /**
+   * The commands for the tasks that the heartbeat shows. An attempt is forgotten only under a token at which
+   * the worker refuses each copy of the direct `run` that started it, since a copy would start it again. The
+   * worker takes the token of an answer before it executes the commands in it.
+   */
+  private answerOfLoadedShard(machine: ShardMachine, heartbeat: WorkerHeartbeat): readonly Command[] {
+    const { tokens, now } = this.dependencies;
+    const highestToken = tokens.highest(machine);
     const commands = answerCommands(
       machine,
       heartbeat,
-      heartbeat.token === token,
+      tokens.isOfThisHolder(heartbeat.token, machine),
       (key, job, index) =>
-        !this.mayStillRun(machine, key, heartbeat.token) && this.isDurablyUnbound(key, job, index),
-      this.dependencies.now(),
+        isRunRefusedUnder(highestToken, machine, key) && this.isDurablyUnbound(key, job, index),
+      now(),
+    );
+    const currentToken = tokens.current(machine);
+    const needsRaise = commands.some(
+      ({ _tag, job, index, attempt }) =>
+        _tag === 'forget' && !isRunRefusedUnder(currentToken, machine, bindingKey(job, index, attempt)),
     );
+    if (needsRaise) tokens.raise(machine, highestToken);
     this.recordAnswer(machine, heartbeat, commands);
-    return { token, commands };
+    return commands;
   }
 
   private recordAnswer(
--- a/src/testing/simulated-environment.ts
+++ b/src/testing/simulated-environment.ts
@@ -35,6 +35,8 @@
   /** Probability that an executed request is delivered once more, after one of `duplicateDelaysMs`. */
   duplicateProbability = 0;
   duplicateDelaysMs: readonly number[] = [1_000];
+  /** Delays in ms after which each direct command that a worker executed is delivered to it again. */
+  repeatedCommandDelaysMs: readonly number[] = [];
   /** Number of machines that the cloud can provide in each zone. */
   machinesPerZone = 6;
   /** For each name, the names that it can't reach and since when (ms since the epoch). */
@@ -181,6 +183,7 @@
       setTimeout(() => {
         void this.deliver(from, to, method, path, sent).then((answer) => {
           deliverDuplicate(answer);
+          if (path === '/commands') this.repeatCommand(from, to, sent, answer);
           if (path === '/hello' && answer._tag === 'response' && answer.status === 200)
             this.checkCommandDuringPartition(to);
           if (this.random.chance(this.lossProbability) || this.machines.get(from)?.deaf) return;
@@ -190,6 +193,13 @@
     });
   }
 
+  /** Delivers a direct command again, after each of `repeatedCommandDelaysMs`, if the worker executed it. */
+  private repeatCommand(from: string, to: string, sent: unknown, answer: CallOutcome): void {
+    if (answer._tag !== 'response' || answer.status !== 200) return;
+    for (const delayMs of this.repeatedCommandDelaysMs)
+      setTimeout(() => void this.deliver(from, to, 'POST', '/commands', copy(sent)), delayMs);
+  }
+
   private cloud(method: string, path: string, body: unknown): CallOutcome {
     if (path === '/catalog') {
       return reply(200, {
