Start another attempt of a task only under a higher token than the one it replaces

A task is preempted, comes back to the same machine as another attempt while the first one's exit is still there, and is preempted again; a repeat of the first `run` then starts the first attempt.

One that keeps one attempt a task drops the exited one with the `run` of the other, and this `run` carried the same token.

Change: `run`, like `reap`, needs a token above that of the direct commands whose attempts the worker may drop by it (`tokenToExceed`, `WorkerTokens.canFence`, `raiseFor`); until one is known the command waits for a later answer. Tests share `src/testing/worker-holder.ts`: the product's sessions, direct commands and tokens around a stand-in of one worker.

--- a/src/placement/direct-commands.ts
+++ b/src/placement/direct-commands.ts
@@ -21,8 +21,6 @@
   readonly tokens: WorkerTokens;
 }
 
-const keyOf = (binding: Binding): string => bindingKey(binding.job, binding.index, binding.attempt);
-
 const runCommand = ({ job, index, attempt }: Binding): Command => ({ _tag: 'run', job, index, attempt });
 
 const stopCommand = ({ job, index, attempt, stop }: Binding): Command => ({
@@ -53,39 +51,33 @@
 
   /** Sends the `run` commands of tasks that were just bound. */
   sendRuns(bindings: readonly Binding[]): void {
+    const { tokens } = this.dependencies;
     const toRun = bindings.filter((binding) => binding.phase._tag === 'bound' && !binding.stop);
     for (const [machine, machineBindings] of this.groupByMachine(toRun)) {
       // The answer to a heartbeat that waits for this round carries the commands.
       if (machine.pendingAnswers > 0) continue;
-      const token = this.token(machine);
-      const runs = new Map<string, DirectRun>();
-      for (const binding of machineBindings) {
-        const key = keyOf(binding);
-        runs.set(key, recordDirectRun(machine, key, token));
-      }
-      void this.send(machine, machineBindings.map(runCommand)).then((result) =>
-        this.onRunsAnswered(machine, runs, result),
-      );
+      const commands = machineBindings.map(runCommand);
+      // Commands that need a token which is not known yet go with the answer to a heartbeat.
+      if (!commands.every((command) => tokens.canFence(machine, command))) continue;
+      const token = tokens.raiseFor(machine, commands);
+      const runs = machineBindings.map((binding) => recordDirectRun(machine, binding, token));
+      void this.send(machine, commands).then((result) => this.onRunsAnswered(machine, runs, result));
     }
   }
 
-  private onRunsAnswered(
-    machine: ShardMachine,
-    runs: ReadonlyMap<string, DirectRun>,
-    result: DirectResult,
-  ): void {
+  private onRunsAnswered(machine: ShardMachine, runs: readonly DirectRun[], result: DirectResult): void {
     switch (result._tag) {
       case 'executed':
-        for (const run of runs.values()) run.outcome = 'executed';
+        for (const run of runs) run.outcome = 'executed';
         this.onResponse(machine, result.heartbeat);
         return;
       case 'refused':
-        for (const [key, run] of runs) removeDirectRun(machine, key, run);
+        for (const run of runs) removeDirectRun(machine, run);
         return;
       case 'unknown':
-        for (const run of runs.values()) run.outcome = 'unanswered';
+        for (const run of runs) run.outcome = 'unanswered';
         machine.needsHigherToken = true;
-        log.info({ event: 'direct_commands.unacknowledged', machine: machine.id, tasks: runs.size });
+        log.info({ event: 'direct_commands.unacknowledged', machine: machine.id, tasks: runs.length });
         this.dependencies.requestRound();
     }
   }
--- a/src/placement/repeated-runs.test.ts
+++ b/src/placement/repeated-runs.test.ts
@@ -1,184 +1,72 @@
 /**
  * Guards against a task that runs on two machines, or after its cancellation, because a copy of the direct
- * `run` that once started it reaches the worker again: after `reap` the worker would start the attempt anew.
- * A worker of the stand-ins executes what a shard's holder sends, and then each direct command once more.
+ * `run` that once started it reaches the worker again: once the worker has dropped the attempt, it would
+ * start it anew. After each of the events below every direct command is delivered once more.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { jobSpec, machineRecord } from '../testing/bodies.js';
-import { createStandInJob } from '../testing/cluster.js';
-import { SeededRandom } from '../testing/seeded-random.js';
-import { SimulatedEnvironment } from '../testing/simulated-environment.js';
-import { WorkerStandIn } from '../testing/worker-stand-in.js';
-import { readWorkerHeartbeat, writeCommands, writeDirectCommands } from '../workers/codec.js';
-import type { Command } from '../workers/model.js';
-import type { DirectResult } from '../workers/worker-client.js';
 import { MAX_FORGET_COMMAND_DELAY_MS } from '../constants/workers.js';
-import { DirectCommands } from './direct-commands.js';
-import { bindingKey, type Binding, type ShardMachine } from './shard-model.js';
-import { ShardState } from './shard-state.js';
-import { WorkerSessions } from './worker-sessions.js';
-import { WorkerTokens } from './worker-tokens.js';
-
-const MACHINE = 'i-1';
-const TASK = 'job-000001/0';
-const ATTEMPT = 1;
-const LEASE_MS = 20_000;
-const HEARTBEAT_INTERVAL_MS = 3_000;
+import { createStandInJob } from '../testing/cluster.js';
+import {
+  createWorker,
+  deliverDirect,
+  JOB,
+  WorkerHolder,
+  type DirectRequest,
+} from '../testing/worker-holder.js';
+import type { TaskOnMachine } from '../testing/worker-stand-in.js';
+import { recordDirectRun, removeDirectRun } from './direct-runs.js';
+
+const TASK = `${JOB}/0`;
+const OTHER_TASK = 'job-000002/0';
 const FIRST_CLAIM = 50;
 const LATER_CLAIM = 80;
 const RECORD_REVISION = 40;
 const TRANSFER_REVISION = 90;
 
-/** A direct command as the worker receives it. */
-type DirectRequest = ReturnType<typeof writeDirectCommands>;
-/** A command on the wire. */
-type WireCall = Parameters<WorkerStandIn['execute']>[1][number];
-
-const NO_TASK_LIMITS = new Map<string, number>();
-
-/** One holder of a shard, as far as workers meet it. */
-class Holder {
-  now = 1_000_000;
-  /** The revision up to which this holder has seen every change of the shared keys. */
-  appliedRevision = FIRST_CLAIM;
-  /** Whether the answers to direct commands are lost. */
-  losesAnswers = false;
-  readonly shardState = new ShardState({
-    now: () => this.now,
-    wall: () => this.now,
-    requestRound: () => undefined,
-  });
-  readonly machine: ShardMachine;
-  readonly directCommands: DirectCommands;
-  private readonly sessions: WorkerSessions;
-
-  constructor(
-    claim: number,
-    recordRevision: number,
-    private readonly worker: WorkerStandIn,
-    private readonly sent: DirectRequest[],
-  ) {
-    const tokens = new WorkerTokens({ claim, appliedRevision: () => this.appliedRevision });
-    const shared = {
-      shardState: this.shardState,
-      tokens,
-      now: () => this.now,
-      isLoaded: () => true,
-      requestRound: () => undefined,
-    };
-    this.sessions = new WorkerSessions({
-      ...shared,
-      leaseMs: LEASE_MS,
-      isPlacing: () => true,
-      isCancelled: () => false,
-    });
-    this.directCommands = new DirectCommands({
-      ...shared,
-      isLost: () => false,
-      sendCommands: (_addr, token, agentEpoch, commands) => this.send(token, agentEpoch, commands),
-    });
-    const total = { cpus: 64, gpus: 8, memoryGb: 256 };
-    this.machine = this.shardState.addMachine(MACHINE, machineRecord(), recordRevision, total);
-  }
-
-  private send(token: number, agentEpoch: number, commands: readonly Command[]): Promise<DirectResult> {
-    const request = writeDirectCommands(token, agentEpoch, commands);
-    this.sent.push(request);
-    const executed = deliver(this.worker, request);
-    const heartbeat = readWorkerHeartbeat(this.worker.nextHeartbeat());
-    if (this.losesAnswers || !heartbeat) return Promise.resolve({ _tag: 'unknown' });
-    return Promise.resolve({ _tag: executed ? 'executed' : 'refused', heartbeat });
-  }
-
-  /** Sends the worker's heartbeat, and the answer to it unless it is lost; returns the names of the calls. */
-  report(isAnswerLost = false): readonly unknown[] {
-    this.now += HEARTBEAT_INTERVAL_MS;
-    const heartbeat = readWorkerHeartbeat(this.worker.nextHeartbeat());
-    assert.ok(heartbeat && this.sessions.onHeartbeat(heartbeat));
-    const answer = this.sessions.commandsFor(heartbeat);
-    assert.ok(answer);
-    const { crook, calls } = writeCommands(answer.token, answer.commands) as {
-      readonly crook: number;
-      readonly calls: readonly WireCall[];
-    };
-    if (!isAnswerLost) assert.ok(this.worker.execute(crook, calls), 'the token is never lowered');
-    return calls.map(({ call }) => call);
-  }
-
-  /** Reports until exited tasks are due to be forgotten, and once more. */
-  reportUntilForgotten(): void {
-    this.report();
-    this.now += MAX_FORGET_COMMAND_DELAY_MS;
-    this.report();
-    this.report();
-  }
-
-  /** Binds the task and starts it with a direct command. */
-  async start(): Promise<Binding> {
-    const spec = jobSpec('job-000001', { kind: 'array', tasks: 1 });
-    const job = this.shardState.applyJobRecord(
-      { spec, at: 0, cancelled: false, cancelledAt: null, dependsOn: [], parts: 0 },
-      1,
-    );
-    const binding = this.shardState.bind(job, 0, ATTEMPT, this.machine, { _tag: 'bound' });
-    this.directCommands.sendRuns([binding]);
-    await Promise.resolve();
-    return binding;
-  }
-
-  /** Stops the task as preemption does, and lets the worker report that it has exited. */
-  preempt(binding: Binding): void {
-    this.shardState.stop(binding, 'evicted', 0);
-    this.report();
-    this.report();
-    assert.equal(binding.phase._tag, 'gone');
-  }
-}
-
-/** Delivers a direct command to a worker as the network does; returns whether it was executed. */
-const deliver = (worker: WorkerStandIn, request: DirectRequest): boolean => {
-  const { crook, stint, calls } = request as {
-    readonly crook: number;
-    readonly stint: number;
-    readonly calls: readonly WireCall[];
-  };
-  return stint === worker.agentEpoch && worker.execute(crook, calls);
-};
+/** A task of another job that takes the whole machine. */
+const wholeMachineTask = (): TaskOnMachine => ({
+  job: createStandInJob(2, { accelerators: 8 }, 60_000),
+  index: 0,
+  attempt: 1,
+  state: 'running',
+  cause: '',
+  readyAt: 0,
+  startedAt: 0,
+});
 
-/** A worker with one machine, its holder, and all direct commands that were sent to it. */
+/** A worker, the holder of its machine's shard, and all direct commands that were sent to it. */
 class Scenario {
   readonly sent: DirectRequest[] = [];
-  readonly worker: WorkerStandIn;
-  readonly holder: Holder;
+  readonly worker = createWorker();
+  readonly holder: WorkerHolder;
 
   constructor() {
-    const environment = new SimulatedEnvironment(
-      ['n0'],
-      new SeededRandom(1),
-      LEASE_MS,
-      HEARTBEAT_INTERVAL_MS,
-      NO_TASK_LIMITS,
-      2 * LEASE_MS,
-    );
-    environment.jobs.set('job-000001', createStandInJob(1, {}, 60_000));
-    this.worker = new WorkerStandIn(MACHINE, 'x', false, environment);
-    this.holder = this.successor(FIRST_CLAIM, RECORD_REVISION);
+    this.holder = this.holderUnder(FIRST_CLAIM, RECORD_REVISION);
     this.holder.report();
     this.holder.report();
   }
 
-  successor(claim: number, recordRevision: number): Holder {
-    const holder = new Holder(claim, recordRevision, this.worker, this.sent);
-    holder.appliedRevision = Math.max(claim, recordRevision);
-    return holder;
+  holderUnder(claim: number, recordRevision: number): WorkerHolder {
+    return new WorkerHolder(claim, recordRevision, Math.max(claim, recordRevision), this);
+  }
+
+  /** Starts the task directly, and preempts it once another change of the store is known. */
+  async startAndPreempt(attempt = 1): Promise<void> {
+    const binding = await this.holder.start(0, attempt);
+    this.holder.appliedRevision += 1;
+    this.holder.preempt(binding);
+  }
+
+  private tasks(): readonly string[] {
+    return [...this.worker.tasks].map(([task, { attempt, state }]) => `${task}#${attempt} ${state}`);
   }
 
   /** Delivers every direct command once more, and requires that none of them starts a task. */
   repeatAll(): void {
-    const before = this.worker.tasks.get(TASK)?.state;
-    for (const request of this.sent) deliver(this.worker, request);
-    assert.equal(this.worker.tasks.get(TASK)?.state, before, 'a copy of a command started the task again');
+    const before = this.tasks();
+    for (const request of this.sent) deliverDirect(this.worker, request);
+    assert.deepEqual(this.tasks(), before, 'a copy of a command started a task again');
   }
 
   requireForgotten(): void {
@@ -186,100 +74,108 @@
   }
 }
 
-const scenarios: readonly { readonly name: string; readonly run: (s: Scenario) => Promise<void> }[] = [
+const scenarios: readonly {
+  readonly name: string;
+  readonly run: (scenario: Scenario) => Promise<void>;
+}[] = [
   {
     name: 'after the task was preempted and forgotten',
-    run: async (s) => {
-      const binding = await s.holder.start();
-      s.holder.appliedRevision += 1;
-      s.holder.preempt(binding);
-      s.repeatAll();
-      s.holder.reportUntilForgotten();
-      s.requireForgotten();
+    run: async (scenario) => {
+      await scenario.startAndPreempt();
+      scenario.repeatAll();
+      scenario.holder.reportUntilForgotten();
+      scenario.requireForgotten();
     },
   },
   {
     name: 'after the worker had no room for the task and was told to forget the refusal',
-    run: async (s) => {
-      const other = createStandInJob(2, { accelerators: 8 }, 60_000);
-      s.worker.tasks.set('job-000002/0', {
-        job: other,
-        index: 0,
-        attempt: ATTEMPT,
-        state: 'running',
-        cause: '',
-        readyAt: 0,
-        startedAt: 0,
-      });
-      await s.holder.start();
-      assert.equal(s.worker.tasks.get(TASK)?.cause, 'no_room');
-      s.holder.appliedRevision += 1;
-      s.worker.tasks.delete('job-000002/0');
-      s.holder.reportUntilForgotten();
-      s.requireForgotten();
+    run: async (scenario) => {
+      const { holder, worker } = scenario;
+      worker.tasks.set(OTHER_TASK, wholeMachineTask());
+      await holder.start();
+      assert.equal(worker.tasks.get(TASK)?.cause, 'no_room');
+      holder.appliedRevision += 1;
+      worker.tasks.delete(OTHER_TASK);
+      holder.reportUntilForgotten();
+      scenario.requireForgotten();
     },
   },
   {
     name: 'after a command whose answer was lost',
-    run: async (s) => {
-      s.holder.losesAnswers = true;
-      const binding = await s.holder.start();
-      s.holder.appliedRevision += 1;
-      s.holder.report();
-      s.holder.preempt(binding);
-      s.holder.reportUntilForgotten();
-      s.requireForgotten();
+    run: async (scenario) => {
+      const { holder } = scenario;
+      holder.delivery = 'answerLost';
+      const binding = await holder.start();
+      holder.appliedRevision += 1;
+      holder.report();
+      holder.preempt(binding);
+      holder.reportUntilForgotten();
+      scenario.requireForgotten();
     },
   },
   {
     name: 'before the answer that tells the worker to forget arrives',
-    run: async (s) => {
-      const binding = await s.holder.start();
-      s.holder.appliedRevision += 1;
-      s.holder.preempt(binding);
-      s.holder.now += MAX_FORGET_COMMAND_DELAY_MS;
-      assert.deepEqual(s.holder.report(true), ['reap']);
-      s.repeatAll();
-      assert.notEqual(s.holder.machine.confirmedToken, 0);
-      s.holder.reportUntilForgotten();
-      assert.notEqual(s.holder.machine.confirmedToken, 0, 'a lost answer with a raised token costs nothing');
-      s.requireForgotten();
+    run: async (scenario) => {
+      const { holder } = scenario;
+      await scenario.startAndPreempt();
+      holder.now += MAX_FORGET_COMMAND_DELAY_MS;
+      assert.deepEqual(holder.report(true), ['reap']);
+      scenario.repeatAll();
+      holder.reportUntilForgotten();
+      assert.notEqual(holder.machine.confirmedToken, 0, 'a lost answer with a raised token costs nothing');
+      scenario.requireForgotten();
+    },
+  },
+  {
+    name: 'after a later attempt of the task took its place by a direct command',
+    run: async (scenario) => {
+      await scenario.startAndPreempt();
+      await scenario.startAndPreempt(2);
+      assert.equal(scenario.worker.tasks.get(TASK)?.attempt, 2);
+    },
+  },
+  {
+    name: 'after a later attempt of the task took its place by the answer to a heartbeat',
+    run: async (scenario) => {
+      await scenario.startAndPreempt();
+      const binding = scenario.holder.bind(0, 2);
+      assert.deepEqual(scenario.holder.report(), ['run', 'reap']);
+      scenario.holder.preempt(binding);
+      assert.equal(scenario.worker.tasks.get(TASK)?.attempt, 2);
     },
   },
   {
     name: 'after a later holder of the shard had the worker forget the task',
-    run: async (s) => {
-      s.holder.preempt(await s.holder.start());
-      s.successor(LATER_CLAIM, RECORD_REVISION).reportUntilForgotten();
-      s.requireForgotten();
+    run: async (scenario) => {
+      await scenario.startAndPreempt();
+      scenario.holderUnder(LATER_CLAIM, RECORD_REVISION).reportUntilForgotten();
+      scenario.requireForgotten();
     },
   },
   {
     name: 'after the machine moved to another shard, whose holder had the worker forget the task',
-    run: async (s) => {
-      s.holder.preempt(await s.holder.start());
-      s.successor(FIRST_CLAIM + 1, TRANSFER_REVISION).reportUntilForgotten();
-      s.requireForgotten();
+    run: async (scenario) => {
+      await scenario.startAndPreempt();
+      scenario.holderUnder(FIRST_CLAIM + 1, TRANSFER_REVISION).reportUntilForgotten();
+      scenario.requireForgotten();
     },
   },
   {
     name: 'after the machine moved to another shard, before its holder is known to the worker',
-    run: async (s) => {
-      const binding = await s.holder.start();
-      s.holder.appliedRevision += 1;
-      s.holder.preempt(binding);
-      s.holder.reportUntilForgotten();
-      s.requireForgotten();
-      s.repeatAll();
-      s.successor(FIRST_CLAIM + 1, TRANSFER_REVISION).report();
+    run: async (scenario) => {
+      await scenario.startAndPreempt();
+      scenario.holder.reportUntilForgotten();
+      scenario.requireForgotten();
+      scenario.repeatAll();
+      scenario.holderUnder(FIRST_CLAIM + 1, TRANSFER_REVISION).report();
     },
   },
   {
     name: 'after the session of the worker ended with all its tasks',
-    run: async (s) => {
-      await s.holder.start();
-      s.worker.agentEpoch += 1;
-      s.worker.tasks.clear();
+    run: async (scenario) => {
+      await scenario.holder.start();
+      scenario.worker.agentEpoch += 1;
+      scenario.worker.tasks.clear();
     },
   },
 ];
@@ -305,39 +201,52 @@
   scenario.repeatAll();
 });
 
+test('a later attempt is not started before such a revision is known either', async () => {
+  const scenario = new Scenario();
+  const { holder, worker } = scenario;
+  holder.preempt(await holder.start());
+  const sentBefore = scenario.sent.length;
+  await holder.start(0, 2);
+  assert.equal(scenario.sent.length, sentBefore, 'no direct command is sent');
+  assert.deepEqual(holder.report(), []);
+  assert.equal(worker.tasks.get(TASK)?.attempt, 1);
+  holder.appliedRevision += 1;
+  assert.deepEqual(holder.report(), ['run', 'reap']);
+  assert.equal(worker.tasks.get(TASK)?.attempt, 2);
+  scenario.repeatAll();
+});
+
 test('the token is not raised while the answer to a direct run is awaited: it would be refused', async () => {
   const scenario = new Scenario();
   const { holder, worker } = scenario;
   holder.preempt(await holder.start());
   holder.report();
   holder.appliedRevision += 1;
-  const key = bindingKey('job-000001', 1, 2);
-  holder.machine.directRuns.set(key, { token: FIRST_CLAIM, agentEpoch: 1, outcome: 'pending' });
+  const pending = recordDirectRun(holder.machine, { job: JOB, index: 1, attempt: 2 }, FIRST_CLAIM);
   holder.now += MAX_FORGET_COMMAND_DELAY_MS;
   holder.report();
   assert.equal(worker.token, FIRST_CLAIM);
   assert.equal(worker.tasks.get(TASK)?.state, 'exited');
-  holder.machine.directRuns.delete(key);
+  removeDirectRun(holder.machine, pending);
   holder.report();
   scenario.requireForgotten();
 });
 
 test('a task that no direct command started is forgotten without a higher token', () => {
-  const { holder, worker } = new Scenario();
+  const scenario = new Scenario();
+  const { holder, worker } = scenario;
   holder.appliedRevision += 1;
-  worker.execute(FIRST_CLAIM, [{ call: 'run', head: TASK, try: ATTEMPT }]);
+  worker.execute(FIRST_CLAIM, [{ call: 'run', head: TASK, try: 1 }]);
   holder.report();
   holder.reportUntilForgotten();
-  assert.equal(worker.tasks.has(TASK), false);
+  scenario.requireForgotten();
   assert.equal(worker.token, FIRST_CLAIM);
 });
 
 test('commands that the worker refuses for good are not kept', async () => {
-  const { holder } = new Scenario();
-  const binding = await holder.start();
-  assert.equal(holder.machine.directRuns.size, 1);
-  holder.appliedRevision += 1;
-  holder.preempt(binding);
-  holder.reportUntilForgotten();
-  assert.equal(holder.machine.directRuns.size, 0);
+  const scenario = new Scenario();
+  await scenario.startAndPreempt();
+  assert.equal(scenario.holder.machine.directRuns.size, 1);
+  scenario.holder.reportUntilForgotten();
+  assert.equal(scenario.holder.machine.directRuns.size, 0);
 });
--- a/src/placement/shard-model.ts
+++ b/src/placement/shard-model.ts
@@ -3,7 +3,7 @@
  * comments below name the other classes that set a field.
  */
 import type { Demand, JobSpec } from '../jobs/model.js';
-import type { ReportedTask } from '../workers/model.js';
+import type { ReportedTask, TaskAttempt } from '../workers/model.js';
 import type { Readiness } from '../pipelines/graph.js';
 import type { Phase } from './attempt-phase.js';
 
@@ -157,7 +157,7 @@
 export type DirectRunOutcome = 'pending' | 'unanswered' | 'executed';
 
 /** A direct `run` command of which the worker may still execute a copy. */
-export interface DirectRun {
+export interface DirectRun extends TaskAttempt {
   /** The token that the command carries: a worker that has seen a higher one refuses it. */
   readonly token: number;
   /** The worker's session that the command names: a worker in a later one refuses it. */
--- a/src/placement/worker-sessions.ts
+++ b/src/placement/worker-sessions.ts
@@ -8,7 +8,7 @@
 import { log } from '../log.js';
 import type { Command, WorkerHeartbeat } from '../workers/model.js';
 import { answerCommands, detectPhaseChanges } from '../workers/reconcile.js';
-import { isRunRefusedUnder, mayStartLate, removeRefusedRuns } from './direct-runs.js';
+import { mayStartLate, removeRefusedRuns } from './direct-runs.js';
 import { isNewer, recordLastSeen } from './heartbeat-order.js';
 import type { RoundTrigger, StageQueries, SteadyClock } from './ports.js';
 import { chunkOf } from './run-records.js';
@@ -166,36 +166,27 @@
     const machine = shardState.machines.get(heartbeat.machine);
     if (machine?.sequenceNumber !== heartbeat.sequenceNumber || machine.agentEpoch !== heartbeat.agentEpoch)
       return null;
-    const commands = isLoaded()
-      ? this.answerOfLoadedShard(machine, heartbeat)
-      : this.stopsOfCancelled(heartbeat);
-    return { token: tokens.current(machine), commands };
+    if (isLoaded()) return this.answerOfLoadedShard(machine, heartbeat);
+    return { token: tokens.current(machine), commands: this.stopsOfCancelled(heartbeat) };
   }
 
   /**
-   * The commands for the tasks that the heartbeat shows. An attempt is forgotten only under a token at which
-   * the worker refuses each copy of the direct `run` that started it, since a copy would start it again. The
-   * worker takes the token of an answer before it executes the commands in it.
+   * The commands for the tasks that the heartbeat shows. A worker drops an attempt only under a token at
+   * which it refuses each copy of the direct `run` that started the attempt, since a copy would start it
+   * again: commands for which no such token is known yet are left to a later answer.
    */
-  private answerOfLoadedShard(machine: ShardMachine, heartbeat: WorkerHeartbeat): readonly Command[] {
+  private answerOfLoadedShard(machine: ShardMachine, heartbeat: WorkerHeartbeat): FencedCommands {
     const { tokens, now } = this.dependencies;
-    const highestToken = tokens.highest(machine);
     const commands = answerCommands(
       machine,
       heartbeat,
       tokens.isOfThisHolder(heartbeat.token, machine),
-      (key, job, index) =>
-        isRunRefusedUnder(highestToken, machine, key) && this.isDurablyUnbound(key, job, index),
+      (command) => tokens.canFence(machine, command),
+      (key, job, index) => this.isDurablyUnbound(key, job, index),
       now(),
     );
-    const currentToken = tokens.current(machine);
-    const needsRaise = commands.some(
-      ({ _tag, job, index, attempt }) =>
-        _tag === 'forget' && !isRunRefusedUnder(currentToken, machine, bindingKey(job, index, attempt)),
-    );
-    if (needsRaise) tokens.raise(machine, highestToken);
     this.recordAnswer(machine, heartbeat, commands);
-    return commands;
+    return { token: tokens.raiseFor(machine, commands), commands };
   }
 
   private recordAnswer(
--- a/src/placement/worker-tokens.ts
+++ b/src/placement/worker-tokens.ts
@@ -7,7 +7,8 @@
  * at a higher revision. Owns `ShardMachine.raisedToken`; `WorkerSessions` and `DirectCommands` use it.
  */
 import { log } from '../log.js';
-import { hasPendingRuns } from './direct-runs.js';
+import type { Command } from '../workers/model.js';
+import { hasPendingRuns, tokenToExceed } from './direct-runs.js';
 import type { ShardIdentity } from './ports.js';
 import type { ShardMachine } from './shard-model.js';
 
@@ -31,25 +32,38 @@
     return Math.max(this.dependencies.claim, machine.version);
   }
 
-  /**
-   * Whether a worker that has seen this token refuses the commands of every earlier holder.
-   */
+  /** Whether a worker that has seen this token refuses the commands of every earlier holder. */
   isOfThisHolder(token: number, machine: ShardMachine): boolean {
     return token >= this.first(machine);
   }
 
   /**
-   * The highest token that the next answer to the machine's worker may carry. While a direct `run` is under
-   * way it is the current one: the worker would refuse the command under a higher token.
+   * The highest token that the next commands to the machine's worker may carry. While a direct `run` is under
+   * way it is the current one: the worker would refuse that command after a higher token.
    */
-  highest(machine: ShardMachine): number {
+  private highest(machine: ShardMachine): number {
     const current = this.current(machine);
     return hasPendingRuns(machine) ? current : Math.max(current, this.dependencies.appliedRevision());
   }
 
-  /** Raises the token of the machine to one that `highest` returned. */
-  raise(machine: ShardMachine, token: number): void {
-    machine.raisedToken = token;
-    log.debug({ event: 'machine.token_raised', machine: machine.id, token });
+  /**
+   * Whether some token that `raiseFor` may choose makes the worker refuse each copy of the direct `run`
+   * commands whose attempts it drops with this command.
+   */
+  canFence(machine: ShardMachine, command: Command): boolean {
+    const exceeded = tokenToExceed(machine, command);
+    return this.current(machine) > exceeded || this.highest(machine) > exceeded;
+  }
+
+  /**
+   * The token under which the commands are to be sent, each of which `canFence` allowed. Raises the machine's
+   * token if a command needs a higher one: a worker takes the token before it executes the commands.
+   */
+  raiseFor(machine: ShardMachine, commands: readonly Command[]): number {
+    const current = this.current(machine);
+    if (commands.every((command) => current > tokenToExceed(machine, command))) return current;
+    machine.raisedToken = this.highest(machine);
+    log.debug({ event: 'machine.token_raised', machine: machine.id, token: machine.raisedToken });
+    return machine.raisedToken;
   }
 }
--- a/src/workers/reconcile.test.ts
+++ b/src/workers/reconcile.test.ts
@@ -7,7 +7,7 @@
 import type { Binding, ShardMachine } from '../placement/shard-model.js';
 import { bindingKey } from '../placement/shard-model.js';
 import { nextPhase, type Phase } from '../placement/attempt-phase.js';
-import type { WorkerHeartbeat, ReportedTask, TaskState } from './model.js';
+import type { Command, WorkerHeartbeat, ReportedTask, TaskState } from './model.js';
 import { answerCommands, detectPhaseChanges } from './reconcile.js';
 import { readWorkerHeartbeat } from './codec.js';
 
@@ -193,6 +193,8 @@
   binding: Binding | null;
   heartbeat: WorkerHeartbeat;
   mayForget?: boolean;
+  /** Commands that no known token fences yet. */
+  unfenced?: Command['_tag'];
   tokenConfirmed?: boolean;
   now?: number;
   expect: readonly string[];
@@ -258,6 +260,22 @@
     now: 20_000,
     expect: [],
   },
+  {
+    name: 'an exit is not forgotten while a copy of its direct run would start it again',
+    binding: null,
+    heartbeat: heartbeatOf([task({ _tag: 'exited', cause: 'done', saved: false })]),
+    unfenced: 'forget',
+    now: MAX_FORGET_COMMAND_DELAY_MS + 1_000,
+    expect: [],
+  },
+  {
+    name: 'a task is not started in place of an attempt that a copy of its direct run would start again',
+    binding: bindingOf({ _tag: 'bound' }),
+    heartbeat: heartbeatOf([task({ _tag: 'exited', cause: 'stopped', saved: false }, 2)]),
+    unfenced: 'run',
+    now: MAX_FORGET_COMMAND_DELAY_MS + 1_000,
+    expect: ['forget 2'],
+  },
   {
     name: 'a stop with grace is not repeated while the task saves',
     binding: bindingOf({ _tag: 'saving' }, { stop: { reason: 'draining', graceS: 5, since: 0 } }),
@@ -279,6 +297,7 @@
       machineOf(row.binding),
       row.heartbeat,
       row.tokenConfirmed ?? true,
+      (command) => row.unfenced !== command._tag,
       () => row.mayForget ?? true,
       row.now ?? 0,
     );
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -121,6 +121,8 @@
  * Returns the commands in the answer to a heartbeat whose changes have been applied.
  *
  * @param tokenConfirmed - As for `detectPhaseChanges`.
+ * @param canFence - Whether the answer may carry a token under which the worker refuses each copy of the
+ *   direct `run` commands whose attempts it drops when it executes this command.
  * @param mayForget - Whether the key-value store no longer binds this attempt to this machine, so that a
  *   later holder does not start the attempt again after the worker has forgotten it.
  * @param now - The steady clock, ms.
@@ -129,6 +131,7 @@
   machine: ShardMachine,
   heartbeat: WorkerHeartbeat,
   tokenConfirmed: boolean,
+  canFence: (command: Command) => boolean,
   mayForget: (key: string, job: string, index: number) => boolean,
   now: number,
 ): readonly Command[] => {
@@ -140,8 +143,9 @@
     reported.add(key);
     const binding = machine.bound.get(key);
     if (task.state._tag === 'exited') {
-      if (!binding && tokenConfirmed && mayForget(key, task.job, task.index))
-        forgets.push({ _tag: 'forget', ...attemptOf(task) });
+      const forget: Command = { _tag: 'forget', ...attemptOf(task) };
+      if (!binding && tokenConfirmed && mayForget(key, task.job, task.index) && canFence(forget))
+        forgets.push(forget);
       continue;
     }
     const stop = stopCommandFor(task, binding, now);
@@ -149,7 +153,8 @@
   }
   for (const [key, binding] of machine.bound) {
     if (reported.has(key) || binding.phase._tag !== 'bound' || binding.stop) continue;
-    commands.push({ _tag: 'run', ...attemptOf(binding) });
+    const run: Command = { _tag: 'run', ...attemptOf(binding) };
+    if (canFence(run)) commands.push(run);
   }
   return canDeferForgets(machine, commands, forgets, now) ? commands : [...commands, ...forgets];
 };
