Take the decisions on releases out of MachineLiveness

Change: `MachineReleases` decides which machines go back and why; `MachineLiveness` says what may be concluded from silence. Its test follows it; no check changed.

--- a/src/placement/leftover-capacity.test.ts
+++ b/src/placement/leftover-capacity.test.ts
@@ -46,7 +46,6 @@
       machines: shardState.machines,
       catalog: () => catalog,
       workers: { lease_s: 18, report_s: 3, cancel_s: 48 },
-      isBootBound: () => false,
       now: () => NOW,
       wall: () => NOW,
     });
--- a/src/placement/machine-lifecycle.ts
+++ b/src/placement/machine-lifecycle.ts
@@ -9,7 +9,8 @@
 import { log } from '../log.js';
 import type { KeyValueStore } from '../kv-store/client.js';
 import { hasUnansweredRuns } from './direct-runs.js';
-import type { MachineLiveness, MachineToRelease } from './machine-liveness.js';
+import type { MachineLiveness } from './machine-liveness.js';
+import type { MachineReleases, MachineToRelease } from './machine-releases.js';
 import type { ShardIdentity, StageQueries, SteadyClock } from './ports.js';
 import type { UrgentRelease } from './shard-context.js';
 import type { ShardState } from './shard-state.js';
@@ -27,6 +28,7 @@
   readonly store: Pick<KeyValueStore, 'batchWrites'>;
   readonly shardState: ShardState;
   readonly liveness: MachineLiveness;
+  readonly releases: MachineReleases;
   readonly sessions: WorkerSessions;
   readonly records: MachineRecordWriter;
 }
@@ -43,12 +45,12 @@
    * most once every `MACHINE_CHECK_INTERVAL_MS`.
    */
   check(): void {
-    const { now, liveness, shardState } = this.dependencies;
+    const { now, liveness, releases, shardState } = this.dependencies;
     const checkedAt = now();
     if (checkedAt - this.checkedAt < MACHINE_CHECK_INTERVAL_MS) return;
     this.checkedAt = checkedAt;
     for (const machine of liveness.updateAndFindExpired()) this.onLeaseExpired(machine);
-    const overdue = liveness.machinesWithOverdueCancellations(shardState.jobs.values());
+    const overdue = releases.machinesWithOverdueCancellations(shardState.jobs.values());
     this.releaseNow(overdue.map((machine) => machine.id));
     this.writeRecords(this.machinesToRelease(overdue), this.machinesNeedingHigherToken());
   }
@@ -60,12 +62,12 @@
   }
 
   private machinesToRelease(overdue: readonly ShardMachine[]): readonly MachineToRelease[] {
-    const { liveness, isPlacing } = this.dependencies;
+    const { releases, isPlacing } = this.dependencies;
     return [
       ...overdue
         .filter((machine) => !machine.releasing)
         .map((machine): MachineToRelease => ({ machine, reason: 'cancelled and not gone' })),
-      ...liveness.machinesToRelease(isPlacing()).filter(({ machine }) => !overdue.includes(machine)),
+      ...releases.machinesToRelease(isPlacing()).filter(({ machine }) => !overdue.includes(machine)),
     ];
   }
 
--- a/src/placement/machine-releases.test.ts
+++ b/src/placement/machine-releases.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import type { MachineType } from '../jobs/model.js';
 import { MachineLiveness } from './machine-liveness.js';
+import { MachineReleases } from './machine-releases.js';
 import { ShardState } from './shard-state.js';
 
 const NOW = 10_000_000;
@@ -63,14 +64,14 @@
 for (const row of cases) {
   test(`idle machines: ${row.name}`, () => {
     const shardState = new ShardState({ now: () => NOW, wall: () => NOW, requestRound: () => undefined });
-    const liveness = new MachineLiveness({
+    const shared = {
       machines: shardState.machines,
-      catalog: () => new Map([['g', machineType]]),
       workers: { lease_s: 18, report_s: 3, cancel_s: 48 },
-      isBootBound: () => row.bootBound,
       now: () => NOW,
       wall: () => NOW,
-    });
+    };
+    const liveness = new MachineLiveness({ ...shared, catalog: () => new Map([['g', machineType]]) });
+    const releases = new MachineReleases({ ...shared, liveness, isBootBound: () => row.bootBound });
     liveness.loadedAt = 0;
     const machine = shardState.addMachine(
       'm-0',
@@ -90,7 +91,7 @@
     machine.answeredAt = NOW;
     machine.confirmedToken = 1;
     machine.idleSince = NOW - row.idleBoots * BOOT_S * 1000;
-    const released = liveness.machinesToRelease(true).map(({ reason: why }) => why);
+    const released = releases.machinesToRelease(true).map(({ reason }) => reason);
     assert.deepEqual(released, row.isKept ? [] : ['idle']);
   });
 }
--- a/src/placement/placement-view.test.ts
+++ b/src/placement/placement-view.test.ts
@@ -110,7 +110,6 @@
     const index = new PipelineIndex(STAGE_MS);
     const shardState = new ShardState({ now: () => NOW, wall: () => NOW, requestRound: () => undefined });
     const liveness = new MachineLiveness({
-      isBootBound: () => false,
       machines: shardState.machines,
       catalog: () => new Map(),
       workers: { lease_s: 18, report_s: 3, cancel_s: 48 },
--- a/src/placement/shard-composition.ts
+++ b/src/placement/shard-composition.ts
@@ -10,6 +10,7 @@
 import { MachineLifecycle } from './machine-lifecycle.js';
 import { MachineLiveness } from './machine-liveness.js';
 import { MachineRecordWriter } from './machine-record-writer.js';
+import { MachineReleases } from './machine-releases.js';
 import { ImmediateRemoval, TombstonedRemoval, type OrphanedKeys } from './orphaned-keys.js';
 import type { RoundTrigger, ShardIdentity } from './ports.js';
 import { Preemptor } from './preemptor.js';
@@ -66,7 +67,6 @@
     machines: shardState.machines,
     catalog: context.catalog,
     workers: context.workers,
-    isBootBound: context.isBootBound,
     now: context.now,
     wall: context.wall,
   });
@@ -184,6 +184,14 @@
     store: context.store,
     shardState,
     liveness,
+    releases: new MachineReleases({
+      machines: shardState.machines,
+      liveness,
+      workers: context.workers,
+      isBootBound: context.isBootBound,
+      now: context.now,
+      wall: context.wall,
+    }),
     sessions,
     records: new MachineRecordWriter({ transactions, claim, valueBytes: context.valueBytes }),
     now: context.now,
--- a/src/placement/worker-sessions.test.ts
+++ b/src/placement/worker-sessions.test.ts
@@ -9,11 +9,13 @@
 import type { Command, WorkerHeartbeat, ReportedTask } from '../workers/model.js';
 import { ShardState } from './shard-state.js';
 import { MachineLiveness } from './machine-liveness.js';
+import { MachineReleases } from './machine-releases.js';
 import { WorkerSessions } from './worker-sessions.js';
 import { WorkerTokens } from './worker-tokens.js';
 import type { ShardMachine } from './shard-model.js';
 
 const LEASE_S = 20;
+const WORKERS = { lease_s: LEASE_S, report_s: 5, cancel_s: 2 * LEASE_S };
 const spec = jobSpec('job-1', {
   jobClass: 'k',
   team: 't',
@@ -46,10 +48,17 @@
     requestRound: () => undefined,
   });
   readonly liveness = new MachineLiveness({
-    isBootBound: () => false,
     machines: this.shardState.machines,
     catalog: () => new Map([['g', type]]),
-    workers: { lease_s: LEASE_S, report_s: 5, cancel_s: 2 * LEASE_S },
+    workers: WORKERS,
+    now: () => this.now,
+    wall: () => this.now,
+  });
+  readonly machineReleases = new MachineReleases({
+    machines: this.shardState.machines,
+    liveness: this.liveness,
+    workers: WORKERS,
+    isBootBound: () => false,
     now: () => this.now,
     wall: () => this.now,
   });
@@ -111,7 +120,9 @@
   }
   releases(): readonly string[] {
     this.liveness.updateAndFindExpired();
-    return this.liveness.machinesToRelease(true).map(({ machine, reason: why }) => `${machine.id} ${why}`);
+    return this.machineReleases
+      .machinesToRelease(true)
+      .map(({ machine, reason }) => `${machine.id} ${reason}`);
   }
 }
 const running: readonly ReportedTask[] = [{ job: 'job-1', index: 0, attempt: 1, state: { _tag: 'running' } }];
--- a/src/testing/scale.ts
+++ b/src/testing/scale.ts
@@ -72,7 +72,6 @@
   const now = 1_000_000;
   const shardState = new ShardState({ now: () => now, wall: () => now, requestRound: () => undefined });
   const liveness = new MachineLiveness({
-    isBootBound: () => false,
     machines: shardState.machines,
     catalog: () => catalog,
     workers: { lease_s: 24, report_s: 5, cancel_s: 45 },
