Stand-ins: module comments, one way to name a fault, the codec of commands

Change: comments, `faultAt` in `faults.ts`, `jobSpec` where tests spelled it out, `writeDirectCommands` in the stand-in, `commandsFor`. No check changed.

--- a/src/cluster-tests/concurrent-faults.test.ts
+++ b/src/cluster-tests/concurrent-faults.test.ts
@@ -2,13 +2,9 @@
 import { test } from 'node:test';
 import { NODES } from '../testing/cluster.js';
 import { runScenario, type Scenario, type ScenarioRun } from '../testing/scenario.js';
-import { FAULTS } from '../testing/faults.js';
+import { faultAt } from '../testing/faults.js';
 import { SeededRandom } from '../testing/seeded-random.js';
 
-/** The events of a fault from the list that begins at this second; its parameters are drawn from the seed. */
-const faultAt = (start: number, name: keyof typeof FAULTS, seed: number): Scenario['faults'] =>
-  (FAULTS[name]?.(new SeededRandom(seed)) ?? []).map(([offset, happen]) => [start + offset, happen] as const);
-
 /** The first scenario of the list with random times, and a crash and a restart of one controller. */
 const randomOutage = (seed: number): Scenario & { readonly name: string } => {
   const random = new SeededRandom(seed);
--- a/src/cluster-tests/repeated-commands.test.ts
+++ b/src/cluster-tests/repeated-commands.test.ts
@@ -6,8 +6,7 @@
 import { test } from 'node:test';
 import { runScenario, type Scenario, type ScenarioRun } from '../testing/scenario.js';
 import { NODES } from '../testing/cluster.js';
-import { FAULTS } from '../testing/faults.js';
-import { SeededRandom } from '../testing/seeded-random.js';
+import { faultAt } from '../testing/faults.js';
 
 /** Delays of the copies, from less than a heartbeat interval to long after the tasks are forgotten. */
 const REPEAT_DELAYS_MS: readonly number[] = [500, 5_000, 20_000, 35_000, 50_000, 65_000, 80_000, 110_000];
@@ -15,8 +14,6 @@
 const repeatCommands = (run: ScenarioRun): void => {
   run.environment.repeatedCommandDelaysMs = REPEAT_DELAYS_MS;
 };
-const faultAt = (start: number, name: keyof typeof FAULTS, seed: number): Scenario['faults'] =>
-  (FAULTS[name]?.(new SeededRandom(seed)) ?? []).map(([offset, happen]) => [start + offset, happen] as const);
 /** Stops the busiest controller and starts it again `pauseS` later. */
 const restartBusiest = (at: number, pauseS: number): Scenario['faults'] => {
   let node: string = NODES[0];
--- a/src/controller/change-dispatcher.test.ts
+++ b/src/controller/change-dispatcher.test.ts
@@ -3,7 +3,8 @@
 import { test } from 'node:test';
 import { newMachineRecord } from '../fleet/machine-record.js';
 import { writeJobRecord } from '../jobs/job-record-codec.js';
-import type { JobRecord, JobSpec } from '../jobs/model.js';
+import type { JobRecord } from '../jobs/model.js';
+import { jobSpec } from '../testing/bodies.js';
 import { packIds } from '../pipelines/codec.js';
 import type { Change } from '../kv-store/change-feed.js';
 import type { StoredEntry } from '../kv-store/model.js';
@@ -13,28 +14,7 @@
 const VERSION = 7;
 const JOB = 'job-1';
 
-const spec: JobSpec = {
-  id: JOB,
-  jobClass: 'train',
-  team: 'red',
-  kind: 'array',
-  priority: 1,
-  tasks: 2,
-  cpus: 1,
-  gpus: 0,
-  memoryGb: 1,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: 'img',
-  imageGb: 1,
-  estimateS: 10,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-};
+const spec = jobSpec(JOB, { kind: 'array' });
 const job: JobRecord = { spec, at: 17, cancelled: false, cancelledAt: null, dependsOn: [], parts: 0 };
 const cancelled: JobRecord = { ...job, cancelled: true, cancelledAt: 18 };
 const inParts: JobRecord = { ...job, dependsOn: ['job-2'], parts: 1 };
--- a/src/kv-store/change-feed.test.ts
+++ b/src/kv-store/change-feed.test.ts
@@ -5,7 +5,8 @@
 import type { MachineRecord } from '../fleet/machine-record.js';
 import { writeMachineRecord } from '../fleet/machine-record-codec.js';
 import { writeJobRecord } from '../jobs/job-record-codec.js';
-import type { JobRecord, JobSpec } from '../jobs/model.js';
+import type { JobRecord } from '../jobs/model.js';
+import { jobSpec } from '../testing/bodies.js';
 import { decodeChange, type Change } from './change-feed.js';
 import {
   claimKey,
@@ -20,28 +21,7 @@
 const VERSION = 7;
 const DELETION_VERSION = 9;
 
-const spec: JobSpec = {
-  id: 'job-1',
-  jobClass: 'train',
-  team: 'red',
-  kind: 'array',
-  priority: 1,
-  tasks: 2,
-  cpus: 1,
-  gpus: 0,
-  memoryGb: 1,
-  types: null,
-  zone: null,
-  oneZone: false,
-  spread: false,
-  spot: false,
-  image: 'img',
-  imageGb: 1,
-  estimateS: 10,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-};
+const spec = jobSpec('job-1', { kind: 'array' });
 const job: JobRecord = { spec, at: 17, cancelled: false, cancelledAt: null, dependsOn: [], parts: 1 };
 const machine: MachineRecord = {
   shardId: 1,
--- a/src/placement/shard.ts
+++ b/src/placement/shard.ts
@@ -103,8 +103,8 @@
     return this.components.sessions.onHeartbeat(heartbeat);
   }
 
-  /** The answer to a heartbeat; null: none is sent. See `WorkerSessions.commandsFor`. */
-  orders(heartbeat: WorkerHeartbeat): FencedCommands | null {
+  /** The commands in the answer to a heartbeat; null: none is sent. See `WorkerSessions.commandsFor`. */
+  commandsFor(heartbeat: WorkerHeartbeat): FencedCommands | null {
     return this.components.sessions.commandsFor(heartbeat);
   }
 
--- a/src/recorded-formats/receivers.ts
+++ b/src/recorded-formats/receivers.ts
@@ -1,4 +1,4 @@
-/** How controllers handle recorded orders and reservations of the leader, and task counts of other holders. */
+/** How controllers handle recorded orders and reservations of the leader, and task counts of others. */
 import { peerResponder, prepareController, recordedJson, recordWith, STARTUP_MS } from './deployment.js';
 import { decode } from '../http/msgpack.js';
 import { recordedValue, type Recording } from './fixtures.js';
--- a/src/testing/bodies.ts
+++ b/src/testing/bodies.ts
@@ -1,3 +1,4 @@
+/** Bodies and records that many tests need: a submission, a job specification, a machine record. */
 import type { MachineRecord } from '../fleet/machine-record.js';
 import type { JobSpec } from '../jobs/model.js';
 
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,3 +1,7 @@
+/**
+ * Three composed controllers among the stand-ins of one process, on a virtual clock: started, stopped and
+ * upgraded like processes. Also the settings and jobs of the stand-in deployment.
+ */
 import * as Effect from 'effect/Effect';
 import * as Fiber from 'effect/Fiber';
 import type { CallOutcome, ServerRequest, ServerResponse } from '../http/model.js';
@@ -5,7 +9,7 @@
 import type { Controller, Ports } from '../controller/ports.js';
 import { ALL_FEATURES } from '../settings/features.js';
 import type { Settings } from '../settings/schema.js';
-import { readWorkerHeartbeat } from '../workers/codec.js';
+import { readWorkerHeartbeat, writeDirectCommands } from '../workers/codec.js';
 import type { StandInJob } from './worker-stand-in.js';
 import type { SimulatedEnvironment } from './simulated-environment.js';
 
@@ -103,17 +107,12 @@
       }),
       workerClient: {
         send: async (addr, token, agentEpoch, commands) => {
-          const calls = commands.map((command) => ({
-            call: command._tag,
-            head: `${command.job}/${command.index}`,
-            try: command.attempt,
-          }));
           const answer = await this.environment.call(
             name,
             addr.slice(0, addr.lastIndexOf(':')),
             'POST',
             '/commands',
-            { crook: token, stint: agentEpoch, calls },
+            writeDirectCommands(token, agentEpoch, commands),
             1_500,
           );
           if (answer._tag === 'noResponse') return { _tag: 'unknown' };
--- a/src/testing/duties.ts
+++ b/src/testing/duties.ts
@@ -1,3 +1,4 @@
+/** Duties and permits for tests that need a leader but no claims. */
 import { tokenOf, type Permit } from '@dalegate/fencing';
 import { LEADER_CLAIM } from '../claims/claim-decisions.js';
 import { DutyRegistry } from '../duties/duty-registry.js';
--- a/src/testing/faults.ts
+++ b/src/testing/faults.ts
@@ -1,5 +1,6 @@
-import type { SeededRandom } from './seeded-random.js';
-import type { ScenarioRun } from './scenario.js';
+/** The faults of scenarios: what happens to controllers, machines, store and network, and when. */
+import { SeededRandom } from './seeded-random.js';
+import type { Scenario, ScenarioRun } from './scenario.js';
 
 /** A fault: its actions, each with its time in s from the start of the fault. */
 export type Fault = (random: SeededRandom) => readonly (readonly [number, (run: ScenarioRun) => void])[];
@@ -237,5 +238,9 @@
       4 + random.below(30),
     ),
 };
+/** The actions of a fault from the list that begins at this second; its parameters are drawn from the seed. */
+export const faultAt = (start: number, name: keyof typeof FAULTS, seed: number): Scenario['faults'] =>
+  (FAULTS[name]?.(new SeededRandom(seed)) ?? []).map(([offset, action]) => [start + offset, action] as const);
+
 /** s: the workers' lease of the stand-in deployment. */
 const LEASE_S = 15;
--- a/src/testing/late-actions.ts
+++ b/src/testing/late-actions.ts
@@ -1,3 +1,4 @@
+/** Finds requests of replaced leaders that had an effect at the cloud. Pure functions of what it recorded. */
 import type { CloudAction } from './cloud-stand-in.js';
 
 /** The start of a node's leadership, according to the key-value store. */
--- a/src/testing/leader-scenario.ts
+++ b/src/testing/leader-scenario.ts
@@ -1,3 +1,4 @@
+/** A deployment of real processes on loopback whose leader is suspended and replaced. */
 import type { WireDuty } from '../duties/admin-codec.js';
 import { PROVISIONING_KEY } from '../kv-store/keys.js';
 import { submission } from './bodies.js';
--- a/src/testing/scenario.ts
+++ b/src/testing/scenario.ts
@@ -1,3 +1,4 @@
+/** Runs a scenario of users, controllers and faults on a virtual clock, and checks what users are told. */
 import { mock } from 'node:test';
 import type { CallOutcome } from '../http/model.js';
 import type { compose } from '../controller/compose.js';
@@ -88,7 +89,7 @@
     this.cluster = new Cluster(this.environment);
   }
 
-  /** The node that holds this claim (the number of a shard, or `L` for the leader); `n0` if no node holds it. */
+  /** The node that holds this claim (the number of a shard, or `L` for the leader); `n0` if none does. */
   holder(claimName: string): string {
     const claim = this.environment.state.value(`w/c/${claimName}`) as { n: string } | undefined;
     return claim?.n ?? 'n0';
--- a/src/testing/seeded-random.ts
+++ b/src/testing/seeded-random.ts
@@ -1,3 +1,4 @@
+/** Random numbers from a seed. */
 import * as prand from 'pure-rand';
 
 /** A deterministic sequence of random numbers from a seed. */
--- a/src/testing/worker-holder.ts
+++ b/src/testing/worker-holder.ts
@@ -1,7 +1,7 @@
 /**
- * One holder of a shard as a single worker meets it: the product's worker sessions, direct commands and tokens
- * around a stand-in of the worker, without rounds, records and network. Tests deliver, lose and repeat the
- * messages themselves.
+ * One holder of a shard as a single worker meets it: the product's worker sessions, direct commands and
+ * tokens around a stand-in of the worker, without rounds, records and network. Tests deliver, lose and repeat
+ * the messages themselves.
  */
 import assert from 'node:assert/strict';
 import { MAX_FORGET_COMMAND_DELAY_MS } from '../constants/workers.js';
@@ -136,8 +136,8 @@
   }
 
   /**
-   * Passes the worker's next heartbeat to this holder, and the answer to the worker unless it is lost. Returns
-   * the names of the calls in the answer; null: the heartbeat was not accepted.
+   * Passes the worker's next heartbeat to this holder, and the answer to the worker unless it is lost.
+   * Returns the names of the calls in the answer; null: the heartbeat was not accepted.
    */
   report(isAnswerLost = false): readonly unknown[] | null {
     this.now += HEARTBEAT_INTERVAL_MS;
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -24,9 +24,10 @@
   /** Resolves when the binds of the next whole placement round are durable, or after `ms`. */
   nextRound(machine: string, ms: number): Promise<void>;
   /**
-   * Returns the answer to a heartbeat; null: the machine is not in the shard or has sent a later heartbeat.
+   * Returns the commands in the answer to a heartbeat; null: the machine is not in the shard or has sent a
+   * later heartbeat.
    */
-  orders(
+  commandsFor(
     heartbeat: WorkerHeartbeat,
   ): { readonly token: number; readonly commands: readonly Command[] } | null;
 }
@@ -108,7 +109,7 @@
     if (received?.awaitRound)
       await this.dependencies.shard(shardId)?.nextRound(heartbeat.machine, MAX_HEARTBEAT_RESPONSE_DELAY_MS);
     // The shard is looked up again after the wait, since this controller may have lost the claim meanwhile.
-    const answer = received ? (this.dependencies.shard(shardId)?.orders(heartbeat) ?? null) : null;
+    const answer = received ? (this.dependencies.shard(shardId)?.commandsFor(heartbeat) ?? null) : null;
     if (!answer) return RETRY_LATER;
     return { status: 200, body: writeCommands(answer.token, answer.commands) };
   }
