--- a/src/testing/faults.ts
+++ b/src/testing/faults.ts
@@ -238,9 +238,26 @@
       4 + random.below(30),
     ),
 };
-/** The actions of a fault from the list that begins at this second; its parameters are drawn from the seed. */
-export const faultAt = (start: number, name: keyof typeof FAULTS, seed: number): Scenario['faults'] =>
-  (FAULTS[name]?.(new SeededRandom(seed)) ?? []).map(([offset, action]) => [start + offset, action] as const);
+/** Delays of repeated commands, from less than a heartbeat interval to long after tasks are forgotten. */
+const REPEAT_DELAYS_MS: readonly number[] = [500, 5_000, 20_000, 35_000, 50_000, 65_000, 80_000, 110_000];
+
+/** Faults that are played only where they are named, so that the drawn scenarios of all seeds stay the same. */
+const NAMED_FAULTS: Readonly<Record<string, Fault>> = {
+  /** Every direct command that a worker executes is delivered to it again and again. */
+  repeatedCommands: () => [
+    [0, (run) => (run.environment.repeatedCommandDelaysMs = REPEAT_DELAYS_MS)],
+    [120, (run) => (run.environment.repeatedCommandDelaysMs = [])],
+  ],
+};
+
+/** The fault of this name; undefined: there is none. */
+export const faultNamed = (name: string): Fault | undefined => FAULTS[name] ?? NAMED_FAULTS[name];
+
+/** The actions of a fault that begins at this second; its parameters are drawn from the seed. */
+export const faultAt = (start: number, name: string, seed: number): Scenario['faults'] =>
+  (faultNamed(name)?.(new SeededRandom(seed)) ?? []).map(
+    ([offset, action]) => [start + offset, action] as const,
+  );
 
 /** s: the workers' lease of the stand-in deployment. */
 const LEASE_S = 15;
--- a/src/testing/hunt.ts
+++ b/src/testing/hunt.ts
@@ -1,9 +1,10 @@
 /**
  * Runs drawn scenarios with combined faults against the stand-ins, for more seeds than the tests run:
- * `node target/testing/hunt.js FROM TO [fault fault]` runs the seeds and prints those that violate a rule.
+ * `node target/testing/hunt.js FROM TO [fault fault]` runs the seeds and prints those that violate a rule;
+ * `repeatedCommands` is drawn only where it is named.
  */
 import { ScenarioRun, type Scenario } from './scenario.js';
-import { FAULTS } from './faults.js';
+import { faultNamed, FAULTS } from './faults.js';
 import { SeededRandom } from './seeded-random.js';
 
 /** Draws a scenario from a seed: the wanted faults, filled up to three with random ones. */
@@ -18,7 +19,7 @@
   let at = 25 + random.below(30);
   const faults: Scenario['faults'][number][] = [];
   for (const name of names) {
-    const fault = FAULTS[name]?.(random) ?? [];
+    const fault = faultNamed(name)?.(random) ?? [];
     for (const [offset, happen] of fault) faults.push([at + offset, happen]);
     at += random.below(100) / 10 + (random.chance(0.3) ? 15 : 0);
   }
